--- /dev/null
+++ b/include/quincewing/codec/codec.hpp
@@ -0,0 +1,224 @@
+#pragma once
+
+#include "quincewing/base/strong.hpp"
+
+#include <concepts>
+#include <cstdint>
+#include <map>
+#include <msgpack.hpp>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <tl/expected.hpp>
+#include <type_traits>
+#include <utility>
+#include <variant>
+#include <vector>
+
+/// MessagePack for types that list their members in each_field. A struct is an array:
+/// missing trailing members keep their defaults and unknown ones are passed over, so
+/// hosts of neighbouring versions understand each other.
+namespace quincewing::codec {
+
+/// Calls for every member; lets is_fielded detect the method.
+struct any_visitor
+{
+    template <class T>
+    void operator()(T&)
+    {
+    }
+};
+
+template <class T>
+concept fielded = requires(T& it, any_visitor v) { it.each_field(v); };
+
+template <class T>
+struct is_vector : std::false_type
+{
+};
+template <class T>
+struct is_vector<std::vector<T>> : std::true_type
+{
+};
+template <class T>
+struct is_map : std::false_type
+{
+};
+template <class K, class V>
+struct is_map<std::map<K, V>> : std::true_type
+{
+};
+template <class T>
+struct is_optional : std::false_type
+{
+};
+template <class T>
+struct is_optional<std::optional<T>> : std::true_type
+{
+};
+template <class T>
+struct is_variant : std::false_type
+{
+};
+template <class... T>
+struct is_variant<std::variant<T...>> : std::true_type
+{
+};
+template <class T>
+struct is_strong : std::false_type
+{
+};
+template <class T, class R>
+struct is_strong<strong<T, R>> : std::true_type
+{
+};
+
+using packer = msgpack::packer<msgpack::sbuffer>;
+
+template <class T>
+void put(packer& out, const T& it);
+
+template <class T>
+void put_fields(packer& out, const T& it)
+{
+    auto& fields = const_cast<T&>(it);
+    std::uint32_t n = 0;
+    fields.each_field([&n](auto&) { ++n; });
+    out.pack_array(n);
+    fields.each_field([&out](auto& field) { put(out, field); });
+}
+
+template <class T>
+void put(packer& out, const T& it)
+{
+    if constexpr (is_strong<T>::value) {
+        put(out, it.value);
+    } else if constexpr (fielded<T>) {
+        put_fields(out, it);
+    } else if constexpr (std::is_enum_v<T>) {
+        out.pack(static_cast<std::uint64_t>(it));
+    } else if constexpr (is_vector<T>::value) {
+        out.pack_array(static_cast<std::uint32_t>(it.size()));
+        for (const auto& element : it) {
+            put(out, element);
+        }
+    } else if constexpr (is_map<T>::value) {
+        out.pack_array(static_cast<std::uint32_t>(it.size() * 2));
+        for (const auto& [key, element] : it) {
+            put(out, key);
+            put(out, element);
+        }
+    } else if constexpr (is_optional<T>::value) {
+        out.pack_array(it ? 1 : 0);
+        if (it) {
+            put(out, *it);
+        }
+    } else if constexpr (is_variant<T>::value) {
+        out.pack_array(2);
+        out.pack(static_cast<std::uint64_t>(it.index()));
+        std::visit([&out](const auto& element) { put(out, element); }, it);
+    } else {
+        out.pack(it);
+    }
+}
+
+inline const msgpack::object_array& array_of(const msgpack::object& from)
+{
+    if (from.type != msgpack::type::ARRAY) {
+        throw msgpack::type_error{};
+    }
+    return from.via.array;
+}
+
+template <class T>
+void get(const msgpack::object& from, T& it);
+
+template <class T, std::size_t I = 0>
+void get_alternative(std::uint64_t index, const msgpack::object& from, T& it)
+{
+    if constexpr (I == std::variant_size_v<T>) {
+        throw msgpack::type_error{};
+    } else if (index == I) {
+        get(from, it.template emplace<I>());
+    } else {
+        get_alternative<T, I + 1>(index, from, it);
+    }
+}
+
+template <class T>
+void get_map(const msgpack::object_array& items, T& it)
+{
+    it.clear();
+    for (std::uint32_t i = 0; i + 1 < items.size; i += 2) {
+        typename T::key_type key{};
+        get(items.ptr[i], key);
+        get(items.ptr[i + 1], it[std::move(key)]);
+    }
+}
+
+template <class T>
+void get(const msgpack::object& from, T& it)
+{
+    if constexpr (is_strong<T>::value) {
+        get(from, it.value);
+    } else if constexpr (fielded<T>) {
+        const auto& items = array_of(from);
+        std::uint32_t i = 0;
+        it.each_field([&](auto& field) {
+            if (i < items.size) {
+                get(items.ptr[i], field);
+            }
+            ++i;
+        });
+    } else if constexpr (std::is_enum_v<T>) {
+        it = static_cast<T>(from.as<std::uint8_t>());
+    } else if constexpr (is_vector<T>::value) {
+        const auto& items = array_of(from);
+        it.clear();
+        it.resize(items.size);
+        for (std::uint32_t i = 0; i < items.size; ++i) {
+            get(items.ptr[i], it[i]);
+        }
+    } else if constexpr (is_map<T>::value) {
+        get_map(array_of(from), it);
+    } else if constexpr (is_optional<T>::value) {
+        const auto& items = array_of(from);
+        it.reset();
+        if (items.size > 0) {
+            get(items.ptr[0], it.emplace());
+        }
+    } else if constexpr (is_variant<T>::value) {
+        const auto& items = array_of(from);
+        if (items.size < 2) {
+            throw msgpack::type_error{};
+        }
+        get_alternative(items.ptr[0].as<std::uint64_t>(), items.ptr[1], it);
+    } else {
+        from.convert(it);
+    }
+}
+
+template <class T>
+std::string encode(const T& it)
+{
+    msgpack::sbuffer buf;
+    packer out{buf};
+    put(out, it);
+    return {buf.data(), buf.size()};
+}
+
+/// The value, or what is wrong with the bytes.
+template <class T>
+tl::expected<T, std::string> decode(std::string_view buf)
+{
+    try {
+        const auto handle = msgpack::unpack(buf.data(), buf.size());
+        T it{};
+        get(handle.get(), it);
+        return it;
+    } catch (const std::exception& e) {
+        return tl::make_unexpected(std::string{"not readable: "} + e.what());
+    }
+}
+
+} // namespace quincewing::codec
--- /dev/null
+++ b/include/quincewing/control/shard_table.hpp
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "quincewing/base/time.hpp"
+#include "quincewing/control/effects.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace quincewing {
+
+enum class shard_phase : std::uint8_t
+{
+    /// The old owner has not proved yet that it stopped.
+    awaiting_proof,
+    /// The server has not taken the grant yet.
+    granting,
+    serving,
+    /// Admits nothing; what is in flight ends.
+    draining,
+    /// The server was told to stop, or its grant runs out.
+    revoking,
+    /// Not served here any more.
+    released
+};
+
+const char* to_string(shard_phase it);
+
+/// A shard as its server's leader holds it.
+struct held_shard
+{
+    shard_phase phase{shard_phase::awaiting_proof};
+    quincewing::fence fence;
+    std::size_t in_flight{};
+    /// Requests that wait for the shard to be served.
+    std::vector<request_id> waiting;
+    instant since{};
+    std::optional<instant> asked_at;
+    /// Server to ask for the proof, when the log's previous owner gave the shard away alone.
+    server_id ask;
+};
+
+/// What is replicated to the standby about a shard beyond the log.
+struct kept_fact
+{
+    quincewing::fence fence;
+    server_id given_to;
+    std::optional<instant> blind_until;
+};
+
+} // namespace quincewing
--- /dev/null
+++ b/include/quincewing/ledger/kept_response.hpp
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace quincewing {
+
+/// A backend server's answer, as kept for repeats of its request.
+struct kept_response
+{
+    std::uint32_t status{};
+    std::map<std::string, std::string> headers;
+    std::string body;
+    /// The body was too large to keep.
+    bool body_dropped{};
+
+    template <class F>
+    void each_field(F&& f)
+    {
+        f(status);
+        f(headers);
+        f(body);
+        f(body_dropped);
+    }
+};
+
+} // namespace quincewing
--- /dev/null
+++ b/include/quincewing/ownership/pair_view.hpp
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "quincewing/base/ids.hpp"
+
+#include <cstdint>
+#include <utility>
+
+namespace quincewing {
+
+/// A pair as one of its members knows it: the log's term plus the changes made without the log.
+struct pair_view
+{
+    host_id leader;
+    host_id standby;
+    std::uint64_t term{};
+    std::uint32_t round{};
+
+    template <class F>
+    void each_field(F&& f)
+    {
+        f(leader);
+        f(standby);
+        f(term);
+        f(round);
+    }
+    bool operator==(const pair_view&) const = default;
+    [[nodiscard]] std::pair<std::uint64_t, std::uint32_t> version() const { return {term, round}; }
+    [[nodiscard]] bool has(const host_id& host) const { return host == leader || host == standby; }
+    [[nodiscard]] bool solo() const { return leader == standby; }
+};
+
+} // namespace quincewing
--- /dev/null
+++ b/include/quincewing/wire/messages.hpp
@@ -0,0 +1,234 @@
+#pragma once
+
+#include "quincewing/ledger/ledger_item.hpp"
+#include "quincewing/ownership/pair_messages.hpp"
+
+#include <cstdint>
+#include <string>
+#include <tl/expected.hpp>
+#include <variant>
+#include <vector>
+
+namespace quincewing {
+
+/// What a pair knows of one shard beyond the log, as copied to the standby.
+struct shard_fact
+{
+    shard_id shard;
+    /// The proof of release up to this fence is in hand.
+    quincewing::fence fence;
+    /// Given to this server without the log; empty when still here.
+    server_id given_to;
+    /// Until then keys that the ledger does not know are answered `unknown`; microseconds left.
+    std::uint64_t blind_left{};
+
+    template <class F>
+    void each_field(F&& f)
+    {
+        f(shard);
+        f(fence);
+        f(given_to);
+        f(blind_left);
+    }
+};
+
+/// Leader to standby: changes to the ledger, or the whole of it.
+struct ledger_update
+{
+    server_id server;
+    pair_view view;
+    /// Number of the first change; the standby takes it only if it follows its last.
+    std::uint64_t number{};
+    /// All that the leader holds: replaces what the standby has.
+    bool whole{};
+    std::vector<ledger_item> items;
+    std::vector<shard_fact> facts;
+
+    template <class F>
+    void each_field(F&& f)
+    {
+        f(server);
+        f(view);
+        f(number);
+        f(whole);
+        f(items);
+        f(facts);
+    }
+};
+
+/// The new owner's leader asks the old owner's for the proof of release.
+struct release_request
+{
+    server_id from;
+    server_id to;
+    shard_id shard;
+    quincewing::fence fence;
+
+    template <class F>
+    void each_field(F&& f)
+    {
+        f(from);
+        f(to);
+        f(shard);
+        f(fence);
+    }
+};
+
+/// Proof that the old owner serves the shard no more, with the shard's ledger.
+struct shard_release
+{
+    server_id from;
+    server_id to;
+    shard_id shard;
+    quincewing::fence fence;
+    /// Not held here any more: given to this server without the log. Empty in a proof.
+    server_id ask_instead;
+    /// Made without the log.
+    bool alone{};
+    std::uint64_t blind_left{};
+    std::vector<ledger_item> items;
+
+    template <class F>
+    void each_field(F&& f)
+    {
+        f(from);
+        f(to);
+        f(shard);
+        f(fence);
+        f(ask_instead);
+        f(alone);
+        f(blind_left);
+        f(items);
+    }
+};
+
+/// The new owner's pair has the shard's ledger on both hosts.
+struct release_taken
+{
+    server_id from;
+    shard_id shard;
+    quincewing::fence fence;
+
+    template <class F>
+    void each_field(F&& f)
+    {
+        f(from);
+        f(shard);
+        f(fence);
+    }
+};
+
+/// How a run ended whose leader had to pass the server on meanwhile.
+struct late_answer
+{
+    server_id server;
+    ledger_item item;
+
+    template <class F>
+    void each_field(F&& f)
+    {
+        f(server);
+        f(item);
+    }
+};
+
+/// Who leads a server, for routing; no decision rests on it.
+struct leader_hint
+{
+    server_id server;
+    pair_view view;
+    /// The server does not answer its leader.
+    bool lost{};
+
+    template <class F>
+    void each_field(F&& f)
+    {
+        f(server);
+        f(view);
+        f(lost);
+    }
+};
+
+/// Sign of life between hosts.
+struct heartbeat
+{
+    data_centre_id data_centre;
+    /// Offset up to which the sender has replayed the log.
+    std::uint64_t applied{};
+    /// This host stops soon and is no candidate for anything.
+    bool leaving{};
+
+    template <class F>
+    void each_field(F&& f)
+    {
+        f(data_centre);
+        f(applied);
+        f(leaving);
+    }
+};
+
+/// Asks for, and carries, the replayed state; for a start while the log is away.
+struct state_request
+{
+    std::uint64_t applied{};
+
+    template <class F>
+    void each_field(F&& f)
+    {
+        f(applied);
+    }
+};
+
+struct state_reply
+{
+    std::string data;
+
+    template <class F>
+    void each_field(F&& f)
+    {
+        f(data);
+    }
+};
+
+/// A request that was in flight when a server crashed, or is refused for a time.
+struct suspect_notice
+{
+    std::uint64_t fingerprint{};
+    /// Microseconds of quarantine left; 0 for a mere suspect.
+    std::uint64_t quarantine_left{};
+
+    template <class F>
+    void each_field(F&& f)
+    {
+        f(fingerprint);
+        f(quarantine_left);
+    }
+};
+
+using message = std::variant<pair_beat, pair_ack, ledger_update, release_request, shard_release,
+                             release_taken, leader_hint, heartbeat, state_request, state_reply,
+                             suspect_notice, late_answer>;
+
+/// A message between two entry hosts; dropped unless it is for this very process.
+struct envelope
+{
+    /// Version of this format.
+    std::uint32_t version{1};
+    host_id from;
+    host_id to;
+    message body;
+
+    template <class F>
+    void each_field(F&& f)
+    {
+        f(version);
+        f(from);
+        f(to);
+        f(body);
+    }
+};
+
+std::string encode_envelope(const envelope& it);
+tl::expected<envelope, std::string> decode_envelope(std::string_view buf);
+
+} // namespace quincewing
--- /dev/null
+++ b/src/libs/admission/server_queue.cpp
@@ -0,0 +1,227 @@
+#include "quincewing/admission/server_queue.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace quincewing {
+
+namespace {
+
+constexpr std::array<double, request_class_count> class_weights{8.0, 4.0, 1.0};
+constexpr double smoothing = 0.1;
+// The baseline follows a lower value at once and a higher one slowly, so that lasting changes
+// of the work count as normal in the end.
+constexpr double baseline_rise = 0.002;
+constexpr double limit_step_up = 0.1;
+constexpr double limit_cut = 0.9;
+constexpr double shed_cut = 0.7;
+
+std::size_t index_of(request_class klass)
+{
+    return static_cast<std::size_t>(klass);
+}
+
+duration microseconds_of(double n)
+{
+    return duration{static_cast<duration::rep>(n)};
+}
+
+} // namespace
+
+server_queue::server_queue(queue_options options) : options_(options)
+{
+    for (auto& klass : classes_) {
+        klass.service = static_cast<double>(options_.first_estimate.count());
+    }
+    cool_down();
+}
+
+void server_queue::cool_down()
+{
+    limit_ = std::max(1.0, options_.slots * options_.cold_share);
+}
+
+std::size_t server_queue::queued() const
+{
+    std::size_t n = 0;
+    for (const auto& klass : classes_) {
+        n += klass.queue.size();
+    }
+    return n;
+}
+
+double server_queue::work_queued() const
+{
+    double work = 0;
+    for (const auto& klass : classes_) {
+        work += static_cast<double>(klass.queue.size()) * klass.service;
+    }
+    return work;
+}
+
+// The work ahead is that of the own class and of what the weights let pass before it.
+duration server_queue::predicted_wait(request_class klass) const
+{
+    const auto own = index_of(klass);
+    const auto ahead = static_cast<double>(classes_[own].queue.size());
+    double work = ahead * classes_[own].service;
+    for (std::size_t i = 0; i < request_class_count; ++i) {
+        if (i == own) {
+            continue;
+        }
+        const auto passing = (ahead + 1) * class_weights[i] / class_weights[own];
+        const auto n = std::min(static_cast<double>(classes_[i].queue.size()), passing);
+        work += n * classes_[i].service;
+    }
+    if (static_cast<double>(running_.size()) >= std::floor(limit_)) {
+        work += classes_[own].service / 2;
+    }
+    return microseconds_of(work / std::max(1.0, std::floor(limit_)));
+}
+
+duration server_queue::drain_time() const
+{
+    return microseconds_of(work_queued() / std::max(1.0, std::floor(limit_)));
+}
+
+tl::expected<void, queue_refusal> server_queue::offer(instant now, const queued_request& it)
+{
+    auto& klass = classes_[index_of(it.klass)];
+    const auto end = now + predicted_wait(it.klass) + microseconds_of(klass.service);
+    const bool late = options_.refuse_by_deadline && end > it.deadline;
+    if (late || queued() >= options_.max_queued) {
+        return tl::make_unexpected(queue_refusal{.retry_after = drain_time()});
+    }
+    klass.queue.push_back(it);
+    return {};
+}
+
+// Brings the first ready request of the chosen class to the front of its queue.
+server_queue::class_state*
+server_queue::pick_class(const std::function<bool(request_id)>& ready)
+{
+    class_state* best = nullptr;
+    for (auto& klass : classes_) {
+        auto& queue = klass.queue;
+        const auto first = std::find_if(queue.begin(), queue.end(), [&](const auto& it) {
+            return !ready || ready(it.id);
+        });
+        if (first == queue.end()) {
+            continue;
+        }
+        std::rotate(queue.begin(), first, first + 1);
+        if (best == nullptr || klass.credit > best->credit) {
+            best = &klass;
+        }
+    }
+    return best;
+}
+
+std::optional<request_id> server_queue::next(instant now,
+                                             const std::function<bool(request_id)>& ready)
+{
+    if (static_cast<double>(running_.size()) + 1 > std::floor(limit_)) {
+        return {};
+    }
+    const bool suspect_runs =
+        std::any_of(running_.begin(), running_.end(), [](const auto& r) { return r.second.alone; });
+    if (suspect_runs) {
+        return {};
+    }
+    auto* klass = pick_class(ready);
+    if (klass == nullptr || (klass->queue.front().alone && !running_.empty())) {
+        return {};
+    }
+    // Every class with work earns its weight; the one that is served pays the sum.
+    for (std::size_t i = 0; i < request_class_count; ++i) {
+        if (classes_[i].queue.empty()) {
+            classes_[i].credit = 0;
+            continue;
+        }
+        classes_[i].credit += class_weights[i];
+        klass->credit -= class_weights[i];
+    }
+    const auto it = klass->queue.front();
+    klass->queue.pop_front();
+    running_[it.id] = {.since = now, .klass = it.klass, .alone = it.alone};
+    return it.id;
+}
+
+std::vector<request_id> server_queue::take_hopeless(instant now)
+{
+    std::vector<request_id> out;
+    for (auto& klass : classes_) {
+        const auto latest = now + (options_.refuse_by_deadline ? microseconds_of(klass.service)
+                                                               : duration{0});
+        const auto gone = [&](const queued_request& it) {
+            if (latest <= it.deadline) {
+                return false;
+            }
+            out.push_back(it.id);
+            return true;
+        };
+        std::erase_if(klass.queue, gone);
+    }
+    return out;
+}
+
+void server_queue::learn(class_state& klass, double took)
+{
+    klass.service += smoothing * (took - klass.service);
+    if (klass.baseline == 0 || took < klass.baseline) {
+        klass.baseline = took;
+    } else {
+        klass.baseline += baseline_rise * (took - klass.baseline);
+    }
+    adapt_limit(took / std::max(klass.baseline, 1.0));
+}
+
+// Single answers vary; the smoothed ratio to the baseline shows a server that is slowing down.
+void server_queue::adapt_limit(double ratio)
+{
+    ratio_ += smoothing * (std::min(ratio, 4 * options_.slow_ratio) - ratio_);
+    if (ratio_ > options_.slow_ratio) {
+        limit_ = std::max(1.0, limit_ * limit_cut);
+        ratio_ = 1.0;
+        return;
+    }
+    limit_ = std::min(options_.slots, limit_ + limit_step_up);
+}
+
+void server_queue::finished(instant now, request_id id, completion how)
+{
+    const auto found = running_.find(id);
+    if (found == running_.end()) {
+        return;
+    }
+    const auto took = static_cast<double>((now - found->second.since).count());
+    auto& klass = classes_[index_of(found->second.klass)];
+    running_.erase(found);
+    if (how == completion::ok) {
+        learn(klass, took);
+    } else if (how == completion::shed) {
+        limit_ = std::max(1.0, limit_ * shed_cut);
+    }
+}
+
+void server_queue::cancel(request_id id)
+{
+    for (auto& klass : classes_) {
+        std::erase_if(klass.queue, [id](const auto& it) { return it.id == id; });
+    }
+}
+
+const char* to_string(request_class it)
+{
+    switch (it) {
+    case request_class::write:
+        return "write";
+    case request_class::read:
+        return "read";
+    case request_class::bulk:
+        return "bulk";
+    }
+    return "read";
+}
+
+} // namespace quincewing
--- /dev/null
+++ b/src/libs/control/server_agent_pair.cpp
@@ -0,0 +1,302 @@
+#include "quincewing/control/server_agent.hpp"
+
+#include <algorithm>
+
+/// The agent's part in its pair: who leads, and the copies of ledger and facts.
+namespace quincewing {
+
+namespace {
+
+constexpr millis whole_again_every{200};
+
+std::string describe(const pair_view& view)
+{
+    return "leader=" + view.leader.value + " standby=" + view.standby.value +
+           " term=" + std::to_string(view.term) + "." + std::to_string(view.round);
+}
+
+} // namespace
+
+server_agent::server_agent(server_id server, host_id self, agent_options options,
+                           hooks callbacks)
+    : server_(std::move(server)), self_(std::move(self)), options_(options),
+      hooks_(std::move(callbacks)), pair_(server_, self_, options.pair, options.faults_of_pair),
+      ledger_(options.ledger), queue_(options.queue)
+{
+}
+
+void server_agent::on_log(instant now, const log_state& log, effects& out)
+{
+    const auto found = log.pairs().find(server_);
+    if (found == log.pairs().end()) {
+        return;
+    }
+    const auto& entry = found->second;
+    const auto server = log.servers().find(server_);
+    retiring_ = server != log.servers().end() && server->second.retiring;
+    if (entry.term > log_term_) {
+        log_term_ = entry.term;
+        // A claim by a third party starts without the ledger.
+        blind_ = blind_ || (entry.leader == self_ && entry.blind && !leading_);
+    }
+    pair_.on_log(now, entry);
+    watch_pair(now, out);
+    if (leading_ && reconciled_version_ != log.shards_version()) {
+        reconcile(now, log, out);
+    }
+}
+
+void server_agent::watch_pair(instant now, effects& out)
+{
+    if (pair_.stands_by()) {
+        stood_by_ = true;
+    }
+    if (leading_ && !pair_.leads()) {
+        stop_leading(now, out);
+    }
+    if (!pair_.leads()) {
+        return;
+    }
+    if (!leading_) {
+        become_leader(out);
+    }
+    if (leading_view_ != pair_.view()) {
+        leading_view_ = pair_.view();
+        acked_number_ = 0;
+        whole_sent_.reset();
+        out.note("pair", server_.value, describe(leading_view_));
+    }
+    watch_acting(now, out);
+}
+
+void server_agent::become_leader(effects& out)
+{
+    leading_ = true;
+    acting_ = false;
+    const bool incomplete = stood_by_ && applied_number_ == 0;
+    blind_ = blind_ || incomplete;
+    update_number_ = std::max(update_number_, applied_number_) + 1;
+    outgoing_ = {};
+    reconciled_version_ = 0;
+    silent_since_.reset();
+    lost_since_.reset();
+    process_gone_ = false;
+    queue_.cool_down();
+    if (blind_) {
+        out.note("ledger_lost", server_.value);
+    }
+}
+
+void server_agent::watch_acting(instant now, effects& out)
+{
+    const bool acts = may_act(now);
+    if (acts == acting_) {
+        return;
+    }
+    acting_ = acts;
+    out.note(acts ? "acting" : "not_acting", server_.value, describe(pair_.view()));
+    if (!acts || acting_since_ > instant{}) {
+        return;
+    }
+    acting_since_ = now;
+    last_grant_sent_ = now;
+    next_renewal_ = now;
+    if (stood_by_ || blind_) {
+        inherited_until_ = now + options_.max_request_time;
+    }
+}
+
+void server_agent::stop_leading(instant now, effects& out)
+{
+    leading_ = false;
+    acting_ = false;
+    acting_since_ = {};
+    inherited_until_.reset();
+    stood_by_ = false;
+    blind_ = false;
+    applied_number_ = 0;
+    std::vector<request_id> waiting;
+    for (auto& [id, it] : requests_) {
+        if (it.at == stage::in_flight) {
+            it.abandoned = true;
+        } else if (it.at != stage::joined) {
+            waiting.push_back(id);
+        }
+    }
+    for (const auto id : waiting) {
+        refuse(now, id, refusal::not_leader, duration{0}, out);
+    }
+    held_.clear();
+    runs_.clear();
+    commands_.clear();
+    proof_updates_.clear();
+    given_taken_.clear();
+    outgoing_ = {};
+    out.note("not_leading", server_.value, describe(pair_.view()));
+}
+
+void server_agent::on_beat(instant now, const host_id& from, const pair_beat& beat, effects& out)
+{
+    const bool whole = applied_view_ == beat.view && applied_number_ > 0;
+    if (const auto ack = pair_.on_beat(now, beat, whole ? applied_number_ : 0)) {
+        out.send(from, *ack);
+    }
+    watch_pair(now, out);
+}
+
+void server_agent::on_ack(instant now, const host_id& /*from*/, const pair_ack& ack, effects& out)
+{
+    pair_.on_ack(now, ack);
+    if (!leading_ || ack.view != pair_.view()) {
+        return;
+    }
+    if (ack.ledger_number == 0) {
+        if (!whole_sent_ || now - *whole_sent_ >= whole_again_every) {
+            send_whole(now, out);
+        }
+        return;
+    }
+    acked_number_ = std::max(acked_number_, ack.ledger_number);
+    watch_acting(now, out);
+    pump(now, out);
+}
+
+void server_agent::send_whole(instant now, effects& out)
+{
+    flush(now, out);
+    whole_sent_ = now;
+    ledger_update whole{.server = server_,
+                        .view = pair_.view(),
+                        .number = update_number_,
+                        .whole = true,
+                        .items = ledger_.items(now)};
+    for (const auto& [shard, fact] : facts_) {
+        whole.facts.push_back(to_fact(now, shard));
+    }
+    out.send(pair_.view().standby, std::move(whole));
+    if (const auto beat = pair_.beat_now(now, update_number_, fresh_as_of_)) {
+        out.send(pair_.view().standby, *beat);
+    }
+}
+
+void server_agent::on_update(instant now, const ledger_update& update)
+{
+    if (!pair_.stands_by() || update.view != pair_.view()) {
+        return;
+    }
+    const bool same_view = applied_view_ == update.view && applied_number_ > 0;
+    if (same_view && update.number <= applied_number_) {
+        return;
+    }
+    if (!update.whole && !(same_view && update.number == applied_number_ + 1)) {
+        applied_number_ = 0;
+        return;
+    }
+    if (update.whole) {
+        ledger_.clear();
+        facts_.clear();
+    }
+    for (const auto& item : update.items) {
+        ledger_.put(now, item);
+    }
+    for (const auto& fact : update.facts) {
+        put_fact(now, fact);
+    }
+    applied_view_ = update.view;
+    applied_number_ = update.number;
+}
+
+void server_agent::queue_update(const ledger_item& item)
+{
+    outgoing_.items.push_back(item);
+}
+
+void server_agent::queue_fact(instant now, const shard_id& shard)
+{
+    outgoing_.facts.push_back(to_fact(now, shard));
+}
+
+void server_agent::flush(instant now, effects& out)
+{
+    if (outgoing_.items.empty() && outgoing_.facts.empty()) {
+        return;
+    }
+    ++update_number_;
+    auto update = std::move(outgoing_);
+    outgoing_ = {};
+    if (!leading_ || pair_.view().solo()) {
+        pump(now, out);
+        return;
+    }
+    update.server = server_;
+    update.view = pair_.view();
+    update.number = update_number_;
+    out.send(pair_.view().standby, std::move(update));
+    if (const auto beat = pair_.beat_now(now, update_number_, fresh_as_of_)) {
+        out.send(pair_.view().standby, *beat);
+    }
+}
+
+bool server_agent::copied(std::uint64_t number) const
+{
+    return pair_.view().solo() ? update_number_ >= number : acked_number_ >= number;
+}
+
+shard_fact server_agent::to_fact(instant now, const shard_id& shard) const
+{
+    const auto& it = facts_.at(shard);
+    shard_fact out{.shard = shard, .fence = it.fence, .given_to = it.given_to};
+    if (it.blind_until && *it.blind_until > now) {
+        out.blind_left = static_cast<std::uint64_t>((*it.blind_until - now).count());
+    }
+    return out;
+}
+
+void server_agent::put_fact(instant now, const shard_fact& it)
+{
+    auto& to = facts_[it.shard];
+    to.fence = it.fence;
+    to.given_to = it.given_to;
+    to.blind_until.reset();
+    if (it.blind_left > 0) {
+        to.blind_until = now + std::chrono::microseconds{it.blind_left};
+    }
+}
+
+void server_agent::on_death(instant now, const host_id& host, const pair_surroundings& around,
+                            effects& out)
+{
+    if (pair_.on_death(now, host, around)) {
+        watch_pair(now, out);
+    }
+}
+
+void server_agent::tick(instant now, const pair_surroundings& around, const log_state& log,
+                        effects& out)
+{
+    fresh_as_of_ = std::max({fresh_as_of_, around.fresh_as_of, pair_.fresh_from_leader()});
+    log_reachable_ = around.log_reachable;
+    ledger_.expire(now);
+    auto known = around;
+    known.fresh_as_of = fresh_as_of_;
+    auto actions = pair_.tick(now, known, update_number_);
+    if (actions.beat) {
+        out.send(pair_.view().standby, *actions.beat);
+    }
+    if (actions.propose) {
+        out.appends.emplace_back(std::move(*actions.propose));
+    }
+    watch_pair(now, out);
+    if (leading_) {
+        if (reconciled_version_ != log.shards_version()) {
+            reconcile(now, log, out);
+        }
+        advance_shards(now, log, out);
+        renew(now, out);
+        refuse_late(now, out);
+        pump(now, out);
+    }
+    flush(now, out);
+}
+
+} // namespace quincewing
--- /dev/null
+++ b/src/libs/control/server_agent_requests.cpp
@@ -0,0 +1,437 @@
+#include "quincewing/control/server_agent.hpp"
+
+#include "quincewing/base/invariant.hpp"
+
+#include <algorithm>
+#include <tuple>
+
+/// The agent's requests: ledger, queue, dispatch and answers.
+namespace quincewing {
+
+namespace {
+
+// When a run's outcome is not known here, it may become known within this time.
+constexpr seconds unknown_retry_after{1};
+constexpr millis lapsed_retry_after{500};
+
+// Connections of one crashed process break within this time of each other.
+constexpr millis crash_reports_together{200};
+
+} // namespace
+
+void server_agent::begin(instant now, const request_meta& meta, effects& out)
+{
+    auto& it = requests_[meta.id];
+    it.meta = meta;
+    if (!leading_) {
+        refuse(now, meta.id, refusal::not_leader, duration{0}, out);
+        return;
+    }
+    if (!may_act(now)) {
+        refuse(now, meta.id, refusal::lease_lapsed, lapsed_retry_after, out);
+        return;
+    }
+    const auto quarantine = guard_.quarantine_left(now, meta.fingerprint);
+    if (quarantine > duration{0}) {
+        refuse(now, meta.id, refusal::quarantined, quarantine, out);
+        return;
+    }
+    begin_on_shard(now, it, out);
+}
+
+void server_agent::begin_on_shard(instant now, active_request& it, effects& out)
+{
+    const auto id = it.meta.id;
+    if (it.meta.shard.number == any_shard) {
+        if (lost_since_ || retiring_) {
+            refuse(now, id, refusal::server_failed, options_.move_estimate, out);
+        } else {
+            enqueue(now, it, out);
+        }
+        return;
+    }
+    const auto held = held_.find(it.meta.shard);
+    const bool here = held != held_.end() && held->second.phase != shard_phase::released;
+    // While the server is lost, its shards come back here or at their standby server.
+    const bool comes = here && (held->second.phase == shard_phase::awaiting_proof ||
+                                held->second.phase == shard_phase::granting);
+    if (here && held->second.phase == shard_phase::serving) {
+        if (!answer_from_ledger(now, it, out)) {
+            enqueue(now, it, out);
+        }
+        return;
+    }
+    const auto wait = expected_serving(now);
+    if (comes && held->second.waiting.size() < options_.max_waiting &&
+        now + wait < it.meta.deadline) {
+        it.at = stage::waiting_shard;
+        held->second.waiting.push_back(id);
+        return;
+    }
+    refuse(now, id, refusal::shard_unavailable, wait, out);
+}
+
+duration server_agent::expected_serving(instant now) const
+{
+    if (!lost_since_) {
+        return options_.move_estimate;
+    }
+    const duration whole =
+        options_.grant_lease + options_.pair.drift_bound + options_.move_estimate;
+    return std::max<duration>(whole - (now - *lost_since_), options_.move_estimate);
+}
+
+// Whether the request has its answer, or joined a run, without a run of its own.
+bool server_agent::answer_from_ledger(instant now, active_request& it, effects& out)
+{
+    if (it.meta.key.empty()) {
+        return false;
+    }
+    const auto& [id, shard, key, fingerprint] =
+        std::tie(it.meta.id, it.meta.shard, it.meta.key, it.meta.fingerprint);
+    switch (ledger_.look(shard, key, fingerprint)) {
+    case ledger_reply::answered:
+        out.answers.push_back({.id = id,
+                               .verdict = verdict::ran,
+                               .response = *ledger_.response(shard, key)});
+        forget_request(id);
+        return true;
+    case ledger_reply::mismatch:
+        refuse(now, id, refusal::key_mismatch, duration{0}, out);
+        return true;
+    case ledger_reply::unknown:
+        if (options_.faults.run_again_after_unknown) {
+            ledger_.end(now, shard, key, run_state::forgotten, {});
+            return false;
+        }
+        refuse(now, id, refusal::earlier_run_unknown, unknown_retry_after, out);
+        return true;
+    case ledger_reply::running: {
+        const auto run = runs_.find({shard, key});
+        if (run == runs_.end()) {
+            refuse(now, id, refusal::earlier_run_unknown, unknown_retry_after, out);
+            return true;
+        }
+        it.at = stage::joined;
+        requests_.at(run->second).joiners.push_back(id);
+        return true;
+    }
+    default:
+        break;
+    }
+    const auto fact = facts_.find(shard);
+    if (fact != facts_.end() && fact->second.blind_until && now < *fact->second.blind_until) {
+        refuse(now, id, refusal::blind, *fact->second.blind_until - now, out);
+        return true;
+    }
+    return false;
+}
+
+void server_agent::enqueue(instant now, active_request& it, effects& out)
+{
+    const queued_request queued{
+        .id = it.meta.id,
+        .klass = it.meta.klass,
+        .deadline = it.meta.deadline,
+        .alone = guard_.standing(now, it.meta.fingerprint) == crash_standing::suspect};
+    if (const auto admitted = queue_.offer(now, queued); !admitted) {
+        refuse(now, it.meta.id, refusal::overloaded, admitted.error().retry_after, out);
+        return;
+    }
+    it.at = stage::queued;
+    if (!it.meta.key.empty() && !start_run(now, it, out)) {
+        return;
+    }
+    pump(now, out);
+}
+
+// Notes the run in the ledger, to be copied to the standby before the dispatch.
+bool server_agent::start_run(instant now, active_request& it, effects& out)
+{
+    const auto& meta = it.meta;
+    if (ledger_.begin(now, meta.shard, meta.key, meta.fingerprint) != ledger_reply::fresh) {
+        queue_.cancel(meta.id);
+        refuse(now, meta.id, refusal::ledger_full, unknown_retry_after, out);
+        return false;
+    }
+    runs_[{meta.shard, meta.key}] = meta.id;
+    queue_update(ledger_.item(now, meta.shard, meta.key));
+    it.copy_number = update_number_ + 1;
+    return true;
+}
+
+void server_agent::pump(instant now, effects& out)
+{
+    if (!leading_ || !may_act(now)) {
+        return;
+    }
+    const auto ready = [this](request_id id) {
+        const auto found = requests_.find(id);
+        return found == requests_.end() || options_.faults.dispatch_before_copy ||
+               found->second.copy_number == 0 || copied(found->second.copy_number);
+    };
+    while (const auto id = queue_.next(now, ready)) {
+        const auto found = requests_.find(*id);
+        if (found == requests_.end()) {
+            queue_.finished(now, *id, completion::failed);
+            continue;
+        }
+        send_to_server(now, found->second, out);
+    }
+}
+
+void server_agent::send_to_server(instant now, active_request& it, effects& out)
+{
+    const auto held = held_.find(it.meta.shard);
+    const bool any = it.meta.shard.number == any_shard;
+    const bool served = held != held_.end() && held->second.phase == shard_phase::serving;
+    if (any ? lost_since_.has_value() : !served) {
+        queue_.finished(now, it.meta.id, completion::failed);
+        refuse(now, it.meta.id, refusal::shard_unavailable, options_.move_estimate, out);
+        return;
+    }
+    check_invariant(may_act(now), "only an acting leader sends requests");
+    check_invariant(it.meta.key.empty() || options_.faults.dispatch_before_copy ||
+                        copied(it.copy_number),
+                    "a run is on the standby before it starts");
+    it.at = stage::in_flight;
+    dispatch order{.id = it.meta.id, .server = server_};
+    if (!any) {
+        ++held->second.in_flight;
+        order.fence = held->second.fence;
+    }
+    out.dispatches.push_back(std::move(order));
+}
+
+void server_agent::refuse(instant now, request_id id, refusal why, duration retry_after,
+                          effects& out)
+{
+    const bool unknown = why == refusal::blind || why == refusal::earlier_run_unknown;
+    out.answers.push_back({.id = id,
+                           .verdict = unknown ? verdict::unknown : verdict::not_run,
+                           .why = why,
+                           .retry_after = retry_after});
+    const auto found = requests_.find(id);
+    if (found == requests_.end()) {
+        return;
+    }
+    const auto it = std::move(found->second);
+    forget_request(id);
+    if (it.copy_number == 0) {
+        return;
+    }
+    // It never left this host: a repeat may run.
+    runs_.erase({it.meta.shard, it.meta.key});
+    queue_update(ledger_.end(now, it.meta.shard, it.meta.key, run_state::forgotten, {}));
+    for (const auto joiner : it.joiners) {
+        refuse(now, joiner, why, retry_after, out);
+    }
+}
+
+void server_agent::forget_request(request_id id)
+{
+    queue_.cancel(id);
+    requests_.erase(id);
+}
+
+void server_agent::cancel(instant now, request_id id, effects& out)
+{
+    const auto found = requests_.find(id);
+    if (found == requests_.end()) {
+        return;
+    }
+    auto& it = found->second;
+    it.caller_gone = true;
+    if (it.at == stage::in_flight) {
+        // A non-idempotent run goes on: its answer is for the repeat.
+        if (it.meta.key.empty()) {
+            out.aborts.push_back(id);
+        }
+        return;
+    }
+    if (it.joiners.empty()) {
+        refuse(now, id, refusal::deadline, duration{0}, out);
+    }
+}
+
+void server_agent::finished(instant now, request_id id, const request_result& result,
+                            effects& out)
+{
+    const auto found = requests_.find(id);
+    if (found == requests_.end()) {
+        return;
+    }
+    const auto it = std::move(found->second);
+    requests_.erase(found);
+    const auto how = result.shed                      ? completion::shed
+                     : result.verdict == verdict::ran ? completion::ok
+                                                      : completion::failed;
+    if (result.server_crashed) {
+        note_crash(now, it.meta.fingerprint);
+    } else if (result.verdict == verdict::ran) {
+        guard_.on_success(it.meta.fingerprint);
+    }
+    queue_.finished(now, id, how);
+    end_run(now, it, result, out);
+    if (it.abandoned) {
+        return;
+    }
+    if (const auto held = held_.find(it.meta.shard); held != held_.end()) {
+        --held->second.in_flight;
+    }
+    pump(now, out);
+}
+
+void server_agent::end_run(instant now, const active_request& it, const request_result& result,
+                           effects& out)
+{
+    if (it.meta.key.empty()) {
+        return;
+    }
+    auto state = run_state::unknown;
+    if (result.verdict == verdict::ran) {
+        state = run_state::answered;
+    } else if (result.verdict == verdict::not_run) {
+        state = run_state::forgotten;
+    }
+    auto item = ledger_.end(now, it.meta.shard, it.meta.key, state, result.response);
+    answer_joiners(it.joiners, result, out);
+    if (!it.abandoned) {
+        runs_.erase({it.meta.shard, it.meta.key});
+        queue_update(item);
+        return;
+    }
+    // Another host leads now and holds the run as started; it should know the end.
+    if (state != run_state::unknown) {
+        out.send(hooks_.leader_of(server_),
+                 late_answer{.server = server_, .item = std::move(item)});
+    }
+}
+
+void server_agent::answer_joiners(const std::vector<request_id>& joiners,
+                                  const request_result& result, effects& out)
+{
+    for (const auto id : joiners) {
+        final_answer answer{.id = id, .verdict = result.verdict};
+        if (result.verdict == verdict::ran) {
+            answer.response = result.response;
+        } else {
+            answer.why = refusal::server_failed;
+            answer.retry_after = unknown_retry_after;
+        }
+        out.answers.push_back(std::move(answer));
+        requests_.erase(id);
+    }
+}
+
+void server_agent::on_late_answer(instant now, const late_answer& it, effects& /*out*/)
+{
+    const auto& item = it.item;
+    const auto known = ledger_.look(item.shard, item.key, item.fingerprint);
+    const bool open = known == ledger_reply::running || known == ledger_reply::unknown;
+    if (!leading_ || !open || runs_.contains({item.shard, item.key})) {
+        return;
+    }
+    ledger_.put(now, item);
+    queue_update(item);
+}
+
+void server_agent::refuse_late(instant now, effects& out)
+{
+    for (const auto id : queue_.take_hopeless(now)) {
+        refuse(now, id, refusal::deadline, queue_.drain_time(), out);
+    }
+    std::vector<request_id> late;
+    for (auto& [shard, held] : held_) {
+        std::erase_if(held.waiting, [&](request_id id) {
+            const auto found = requests_.find(id);
+            const bool over = found == requests_.end() || now >= found->second.meta.deadline;
+            if (over && found != requests_.end()) {
+                late.push_back(id);
+            }
+            return over;
+        });
+    }
+    for (const auto& [id, it] : requests_) {
+        if (it.at == stage::joined && now >= it.meta.deadline) {
+            late.push_back(id);
+        }
+    }
+    for (const auto id : late) {
+        const auto found = requests_.find(id);
+        if (found != requests_.end() && found->second.at == stage::joined) {
+            const auto run = runs_.find({found->second.meta.shard, found->second.meta.key});
+            if (run != runs_.end()) {
+                std::erase(requests_.at(run->second).joiners, id);
+            }
+            // The run that it joined may yet end either way.
+            refuse(now, id, refusal::earlier_run_unknown, unknown_retry_after, out);
+            continue;
+        }
+        refuse(now, id, refusal::deadline, options_.move_estimate, out);
+    }
+}
+
+// All that was in flight at the crash is suspect; each run that ends with the crash reports it,
+// and the first report names the others.
+void server_agent::note_crash(instant now, std::uint64_t fingerprint)
+{
+    if (crash_noted_at_ && now - *crash_noted_at_ < crash_reports_together) {
+        return;
+    }
+    crash_noted_at_ = now;
+    std::vector<std::uint64_t> in_flight{fingerprint};
+    for (const auto& [id, it] : requests_) {
+        if (it.at == stage::in_flight) {
+            in_flight.push_back(it.meta.fingerprint);
+        }
+    }
+    guard_.on_crash(now, in_flight);
+    for (const auto it : in_flight) {
+        const auto left = guard_.quarantine_left(now, it);
+        notices_.push_back(
+            {.fingerprint = it, .quarantine_left = static_cast<std::uint64_t>(left.count())});
+    }
+}
+
+std::vector<suspect_notice> server_agent::take_notices()
+{
+    auto out = std::move(notices_);
+    notices_.clear();
+    return out;
+}
+
+const char* to_string(refusal it)
+{
+    switch (it) {
+    case refusal::none:
+        return "none";
+    case refusal::not_leader:
+        return "not_leader";
+    case refusal::lease_lapsed:
+        return "lease_lapsed";
+    case refusal::shard_unavailable:
+        return "shard_unavailable";
+    case refusal::overloaded:
+        return "overloaded";
+    case refusal::deadline:
+        return "deadline";
+    case refusal::ledger_full:
+        return "ledger_full";
+    case refusal::key_mismatch:
+        return "key_mismatch";
+    case refusal::blind:
+        return "ledger_lost";
+    case refusal::earlier_run_unknown:
+        return "earlier_run_unknown";
+    case refusal::quarantined:
+        return "quarantined";
+    case refusal::shutting_down:
+        return "shutting_down";
+    case refusal::server_failed:
+        return "server_failed";
+    }
+    return "none";
+}
+
+} // namespace quincewing
--- /dev/null
+++ b/src/libs/ledger/ledger.cpp
@@ -0,0 +1,195 @@
+#include "quincewing/ledger/ledger.hpp"
+
+#include <algorithm>
+
+namespace quincewing {
+
+ledger_reply ledger::look(const shard_id& shard, const std::string& key,
+                          std::uint64_t fingerprint) const
+{
+    const auto found = entries_.find({shard, key});
+    if (found == entries_.end()) {
+        return ledger_reply::fresh;
+    }
+    if (found->second.fingerprint != fingerprint) {
+        return ledger_reply::mismatch;
+    }
+    switch (found->second.state) {
+    case run_state::answered:
+        return ledger_reply::answered;
+    case run_state::unknown:
+        return ledger_reply::unknown;
+    default:
+        return ledger_reply::running;
+    }
+}
+
+ledger_reply ledger::begin(instant now, const shard_id& shard, const std::string& key,
+                           std::uint64_t fingerprint)
+{
+    const auto known = look(shard, key, fingerprint);
+    if (known != ledger_reply::fresh) {
+        return known;
+    }
+    if (entries_.size() >= options_.max_entries) {
+        return ledger_reply::full;
+    }
+    const entry_key id{shard, key};
+    const auto expires = now + options_.window;
+    entries_[id] = {.fingerprint = fingerprint, .expires = expires};
+    by_expiry_.emplace_back(expires, id);
+    return ledger_reply::fresh;
+}
+
+ledger_item ledger::end(instant now, const shard_id& shard, const std::string& key,
+                        run_state state, kept_response response)
+{
+    const entry_key id{shard, key};
+    const auto found = entries_.find(id);
+    if (found == entries_.end()) {
+        return {.shard = shard, .key = key, .state = run_state::forgotten};
+    }
+    if (state == run_state::forgotten) {
+        auto gone = to_item(now, id, found->second);
+        gone.state = run_state::forgotten;
+        drop_body(found->second);
+        entries_.erase(found);
+        return gone;
+    }
+    auto& it = found->second;
+    it.state = state;
+    it.expires = now + options_.window;
+    by_expiry_.emplace_back(it.expires, id);
+    keep(it, std::move(response), id);
+    auto item = to_item(now, id, it);
+    drop_oldest_bodies();
+    return item;
+}
+
+void ledger::keep(entry& it, kept_response response, const entry_key& key)
+{
+    drop_body(it);
+    it.response = std::move(response);
+    if (it.response.body.size() > options_.max_body_bytes) {
+        it.response.body.clear();
+        it.response.body_dropped = true;
+    }
+    kept_bytes_ += it.response.body.size();
+    if (!it.response.body.empty()) {
+        with_body_.push_back(key);
+    }
+}
+
+void ledger::drop_body(entry& it)
+{
+    kept_bytes_ -= it.response.body.size();
+    if (!it.response.body.empty()) {
+        it.response.body = {};
+        it.response.body_dropped = true;
+    }
+}
+
+void ledger::drop_oldest_bodies()
+{
+    while (kept_bytes_ > options_.max_kept_bytes && !with_body_.empty()) {
+        const auto found = entries_.find(with_body_.front());
+        with_body_.pop_front();
+        if (found != entries_.end()) {
+            drop_body(found->second);
+        }
+    }
+}
+
+const kept_response* ledger::response(const shard_id& shard, const std::string& key) const
+{
+    const auto found = entries_.find({shard, key});
+    return found == entries_.end() ? nullptr : &found->second.response;
+}
+
+ledger_item ledger::item(instant now, const shard_id& shard, const std::string& key) const
+{
+    const entry_key id{shard, key};
+    return to_item(now, id, entries_.at(id));
+}
+
+ledger_item ledger::to_item(instant now, const entry_key& key, const entry& it) const
+{
+    const auto left = std::max(it.expires - now, duration{0});
+    return {.shard = key.first,
+            .key = key.second,
+            .fingerprint = it.fingerprint,
+            .state = it.state,
+            .response = it.response,
+            .left = static_cast<std::uint64_t>(left.count())};
+}
+
+void ledger::put(instant now, const ledger_item& it)
+{
+    const entry_key id{it.shard, it.key};
+    if (it.state == run_state::forgotten) {
+        if (const auto found = entries_.find(id); found != entries_.end()) {
+            drop_body(found->second);
+            entries_.erase(found);
+        }
+        return;
+    }
+    auto& to = entries_[id];
+    to.fingerprint = it.fingerprint;
+    to.state = it.state;
+    to.expires = now + std::chrono::microseconds{it.left};
+    by_expiry_.emplace_back(to.expires, id);
+    keep(to, it.response, id);
+    drop_oldest_bodies();
+}
+
+std::vector<ledger_item> ledger::items(instant now) const
+{
+    std::vector<ledger_item> out;
+    out.reserve(entries_.size());
+    for (const auto& [key, it] : entries_) {
+        out.push_back(to_item(now, key, it));
+    }
+    return out;
+}
+
+std::vector<ledger_item> ledger::items_of(instant now, const shard_id& shard) const
+{
+    std::vector<ledger_item> out;
+    for (auto it = entries_.lower_bound({shard, {}});
+         it != entries_.end() && it->first.first == shard; ++it) {
+        out.push_back(to_item(now, it->first, it->second));
+    }
+    return out;
+}
+
+void ledger::erase_shard(const shard_id& shard)
+{
+    auto it = entries_.lower_bound({shard, {}});
+    while (it != entries_.end() && it->first.first == shard) {
+        drop_body(it->second);
+        it = entries_.erase(it);
+    }
+}
+
+void ledger::clear()
+{
+    entries_.clear();
+    by_expiry_.clear();
+    with_body_.clear();
+    kept_bytes_ = 0;
+}
+
+// Items copied from elsewhere may stand out of order; a late one only waits for those before it.
+void ledger::expire(instant now)
+{
+    while (!by_expiry_.empty() && by_expiry_.front().first <= now) {
+        const auto found = entries_.find(by_expiry_.front().second);
+        if (found != entries_.end() && found->second.expires <= now) {
+            drop_body(found->second);
+            entries_.erase(found);
+        }
+        by_expiry_.pop_front();
+    }
+}
+
+} // namespace quincewing
--- /dev/null
+++ b/src/libs/ownership/pair_member.cpp
@@ -0,0 +1,313 @@
+#include "quincewing/ownership/pair_member.hpp"
+
+#include <algorithm>
+
+namespace quincewing {
+
+namespace {
+
+// A beat or acknowledgment older than this many others no longer matters to any rule.
+constexpr std::size_t messages_remembered = 4096;
+
+constexpr int unheard_patience_factor = 10;
+
+void remember(std::deque<std::pair<std::uint64_t, instant>>& list, std::uint64_t number,
+              instant now)
+{
+    list.emplace_back(number, now);
+    if (list.size() > messages_remembered) {
+        list.pop_front();
+    }
+}
+
+std::optional<instant> time_of(const std::deque<std::pair<std::uint64_t, instant>>& list,
+                               std::uint64_t number)
+{
+    // Numbers in the list are consecutive.
+    if (list.empty() || number < list.front().first || number > list.back().first) {
+        return {};
+    }
+    return list[number - list.front().first].second;
+}
+
+} // namespace
+
+pair_member::pair_member(server_id server, host_id self, pair_options options, pair_faults faults)
+    : server_(std::move(server)), self_(std::move(self)), options_(options), faults_(faults)
+{
+}
+
+void pair_member::enter(instant now, pair_view next)
+{
+    const bool was_leader = leads();
+    const bool standby_changes = next.standby != view_.standby;
+    // The old standby may still prove our death from an acknowledgment that we confirmed, so a
+    // new one must not count as heard before that is too late.
+    if (was_leader && standby_changes && last_ack_received_ && !faults_.beat_new_standby_at_once) {
+        quiet_until_ = std::max(quiet_until_, *last_ack_received_ + options_.lease);
+    }
+    view_ = std::move(next);
+    entered_ = now;
+    proposed_at_.reset();
+    beats_sent_.clear();
+    newest_acked_sent_.reset();
+    last_ack_received_.reset();
+    confirmed_ack_ = 0;
+    heard_ = false;
+    next_beat_ = now;
+    acks_sent_.clear();
+    last_ack_sent_.reset();
+    confirmed_ack_sent_.reset();
+    last_beat_received_ = now;
+    stopped_acking_ = false;
+}
+
+// A hold runs from the moment when this host read the third party's record; a member of the
+// pair before may know from its leader that less is left.
+void pair_member::set_hold(instant now, const pair_entry& entry, bool was_member)
+{
+    if (!entry.hold || faults_.no_hold_for_third_party) {
+        hold_until_.reset();
+        return;
+    }
+    if (was_member && hold_until_) {
+        return;
+    }
+    hold_until_ = now + options_.isolation_hold + options_.drift_bound;
+}
+
+void pair_member::on_log(instant now, const pair_entry& entry)
+{
+    if (entry.term <= log_term_) {
+        return;
+    }
+    log_term_ = entry.term;
+    if (entry.term <= view_.term) {
+        return;
+    }
+    const bool stood_by = stands_by();
+    const bool led = leads();
+    const auto last_ack = last_ack_sent_;
+    const bool takes_over = entry.leader == self_ && stood_by && entry.author == self_;
+    // Only a heard member of the pair that changes knows how much of its hold is left.
+    const bool knows_hold = view_.has(entry.author) && (led || (stood_by && last_ack));
+    set_hold(now, entry, knows_hold);
+    const bool gave_away = led && entry.leader != self_;
+    enter(now, {.leader = entry.leader, .standby = entry.standby, .term = entry.term});
+    if (takes_over && last_ack && !faults_.takeover_without_wait) {
+        not_before_ = *last_ack + options_.lease + options_.drift_bound;
+        quiet_until_ = std::max(quiet_until_, not_before_);
+    }
+    if (gave_away) {
+        handing_over_ = false;
+    }
+}
+
+std::optional<pair_ack> pair_member::on_beat(instant now, const pair_beat& beat,
+                                             std::uint64_t ledger_number)
+{
+    if (beat.view.standby != self_ || beat.view.version() < view_.version()) {
+        return {};
+    }
+    if (beat.view.version() > view_.version()) {
+        enter(now, beat.view);
+        hold_until_.reset();
+    }
+    if (beat.view != view_ || stopped_acking_) {
+        return {};
+    }
+    if (beat.hold_left > 0 && !faults_.hold_not_inherited) {
+        // The beat was sent before now, so this errs on the late side.
+        hold_until_ = now + std::chrono::microseconds{beat.hold_left} + options_.drift_bound;
+    } else {
+        hold_until_.reset();
+    }
+    last_beat_received_ = now;
+    if (const auto at = time_of(acks_sent_, beat.confirmed_ack)) {
+        confirmed_ack_sent_ = std::max(confirmed_ack_sent_.value_or(*at), *at);
+        // The leader sent this beat after it got that acknowledgment, so its read is no older.
+        if (beat.fresh_age > 0 && at->time_since_epoch().count() >
+                                      static_cast<duration::rep>(beat.fresh_age)) {
+            fresh_from_leader_ = std::max(fresh_from_leader_,
+                                          *at - std::chrono::microseconds{beat.fresh_age});
+        }
+    }
+    ++ack_number_;
+    remember(acks_sent_, ack_number_, now);
+    if (ledger_number > 0 || faults_.unheard_standby_is_full) {
+        last_ack_sent_ = now;
+    }
+    return pair_ack{.server = server_,
+                    .view = view_,
+                    .beat = beat.number,
+                    .number = ack_number_,
+                    .ledger_number = ledger_number};
+}
+
+void pair_member::on_ack(instant now, const pair_ack& ack)
+{
+    if (!leads() || ack.view != view_) {
+        return;
+    }
+    last_ack_received_ = now;
+    // An acknowledgment without the whole ledger keeps the standby from being replaced,
+    // but lets nobody act.
+    if (ack.ledger_number == 0) {
+        return;
+    }
+    const auto sent = time_of(beats_sent_, ack.beat);
+    if (!sent) {
+        return;
+    }
+    heard_ = true;
+    confirmed_ack_ = std::max(confirmed_ack_, ack.number);
+    const auto counted = faults_.lease_from_ack_arrival ? now : *sent;
+    newest_acked_sent_ = std::max(newest_acked_sent_.value_or(counted), counted);
+}
+
+bool pair_member::proof_in_time(instant now, std::optional<instant> counted_from) const
+{
+    if (!counted_from) {
+        return false;
+    }
+    return faults_.proof_without_time_bound ||
+           now < *counted_from + options_.lease - options_.drift_bound;
+}
+
+bool pair_member::on_death(instant now, const host_id& host, const pair_surroundings& around)
+{
+    if (handing_over_ || view_.solo() || around.candidate == host) {
+        return false;
+    }
+    auto next = view_;
+    ++next.round;
+    next.standby = around.candidate;
+    if (leads() && host == view_.standby && proof_in_time(now, newest_acked_sent_)) {
+        // The dead standby can prove nothing any more, so its successor is heard at once.
+        last_ack_received_.reset();
+        enter(now, std::move(next));
+        return true;
+    }
+    if (stands_by() && host == view_.leader && !stopped_acking_ &&
+        proof_in_time(now, confirmed_ack_sent_)) {
+        next.leader = self_;
+        enter(now, std::move(next));
+        return true;
+    }
+    return false;
+}
+
+bool pair_member::may_act(instant now, instant fresh_as_of) const
+{
+    if (!leads() || view_.term == 0 || handing_over_ || fresh_as_of == instant{}) {
+        return false;
+    }
+    if (now < not_before_ || hold_runs(now) || now >= fresh_as_of + options_.isolation_hold) {
+        return false;
+    }
+    if (view_.solo()) {
+        return now >= quiet_until_;
+    }
+    return heard_ && newest_acked_sent_ && now < *newest_acked_sent_ + options_.lease;
+}
+
+pair_beat pair_member::make_beat(instant now, std::uint64_t ledger_number, instant fresh_as_of)
+{
+    ++beat_number_;
+    remember(beats_sent_, beat_number_, now);
+    next_beat_ = now + options_.beat_every;
+    pair_beat beat{.server = server_,
+                   .view = view_,
+                   .number = beat_number_,
+                   .confirmed_ack = confirmed_ack_,
+                   .ledger_number = ledger_number};
+    if (hold_runs(now)) {
+        beat.hold_left = static_cast<std::uint64_t>((*hold_until_ - now).count());
+    }
+    if (fresh_as_of > instant{}) {
+        beat.fresh_age = static_cast<std::uint64_t>(std::max((now - fresh_as_of).count(), 1L));
+    }
+    return beat;
+}
+
+std::optional<pair_beat> pair_member::beat_now(instant now, std::uint64_t ledger_number,
+                                               instant fresh_as_of)
+{
+    if (!leads() || view_.solo() || view_.term == 0 || now < quiet_until_) {
+        return {};
+    }
+    return make_beat(now, ledger_number, fresh_as_of);
+}
+
+pair_change pair_member::change_to(instant now, host_id leader, host_id standby) const
+{
+    return {.server = server_,
+            .expected_term = view_.term,
+            .leader = std::move(leader),
+            .standby = std::move(standby),
+            .hold = hold_runs(now) && !faults_.hold_not_inherited};
+}
+
+std::optional<pair_change> pair_member::leader_proposal(instant now,
+                                                        const pair_surroundings& around)
+{
+    if (handing_over_) {
+        return heard_ ? std::optional{change_to(now, view_.standby, around.candidate)}
+                      : std::nullopt;
+    }
+    const auto heard_at = std::max(last_ack_received_.value_or(entered_), quiet_until_);
+    const bool silent = !view_.solo() && now - heard_at > options_.patience;
+    const bool better = around.candidate != self_ && (view_.solo() || around.candidate_is_better);
+    if (silent || better) {
+        return change_to(now, self_, around.candidate);
+    }
+    if (view_.round > 0) {
+        return change_to(now, self_, view_.standby);
+    }
+    return {};
+}
+
+std::optional<pair_change> pair_member::standby_proposal(instant now,
+                                                         const pair_surroundings& around)
+{
+    // A takeover by an unheard standby costs the isolation hold, so it waits much longer.
+    const auto patience = last_ack_sent_ ? options_.patience
+                                         : options_.patience * unheard_patience_factor;
+    if (now - last_beat_received_ <= patience) {
+        return {};
+    }
+    auto change = change_to(now, self_, around.candidate);
+    // The leader may still act under the standby before us: we are no more than a third party.
+    if (!last_ack_sent_) {
+        change.hold = !faults_.unheard_standby_is_full;
+        change.blind = true;
+    }
+    stopped_acking_ = true;
+    return change;
+}
+
+pair_actions pair_member::tick(instant now, const pair_surroundings& around,
+                               std::uint64_t ledger_number)
+{
+    pair_actions out;
+    if (view_.term == 0) {
+        return out;
+    }
+    if (now >= next_beat_) {
+        out.beat = beat_now(now, ledger_number, around.fresh_as_of);
+    }
+    if (!around.log_reachable || (proposed_at_ && now - *proposed_at_ < options_.propose_every)) {
+        return out;
+    }
+    if (leads()) {
+        out.propose = leader_proposal(now, around);
+    } else if (stands_by()) {
+        out.propose = standby_proposal(now, around);
+    }
+    if (out.propose) {
+        proposed_at_ = now;
+    }
+    return out;
+}
+
+} // namespace quincewing
--- /dev/null
+++ b/src/libs/placement/placeholder.cpp
@@ -0,0 +1,1 @@
+namespace quincewing { }
