Thin path end to end: one binary, stand-ins, settings, plans

Cause: the decisions had no product around them. Change: callers by libevhtp, hosts by nghttp2 streams with MessagePack messages, servers and platform by evhttp, operators over HTTP, TCLAP command line, checked INI settings, stand-ins of platform, server and relay.

--- /dev/null
+++ b/include/quincewing/net/event_loop.hpp
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "quincewing/base/time.hpp"
+
+#include <event2/event.h>
+#include <functional>
+#include <memory>
+
+namespace quincewing {
+
+/// The one thread's loop. Tasks own their sockets and are called by it.
+class event_loop
+{
+public:
+    event_loop();
+    ~event_loop();
+    event_loop(const event_loop&) = delete;
+    event_loop& operator=(const event_loop&) = delete;
+
+    /// Runs until stop().
+    void run();
+    void stop();
+    [[nodiscard]] event_base* base() const { return base_; }
+
+private:
+    event_base* base_;
+};
+
+/// The process's monotonic clock.
+instant monotonic_now();
+timeval to_timeval(duration it);
+
+/// Calls a function after a time, or again and again. Stops when destroyed.
+class timer
+{
+public:
+    timer(event_loop& loop, std::function<void()> fire);
+    ~timer();
+    timer(const timer&) = delete;
+    timer& operator=(const timer&) = delete;
+
+    void once(duration after);
+    void every(duration period);
+    /// Fires after the events that are ready now; calls before that add nothing.
+    void soon();
+    void cancel();
+
+private:
+    struct state;
+    std::unique_ptr<state> state_;
+};
+
+} // namespace quincewing
--- /dev/null
+++ b/include/quincewing/net/http_call.hpp
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "quincewing/base/time.hpp"
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+
+namespace quincewing {
+
+class event_loop;
+
+struct http_request
+{
+    std::string method{"GET"};
+    /// "ip:port"
+    std::string address;
+    std::string path{"/"};
+    std::map<std::string, std::string> headers;
+    std::string body;
+    duration timeout{seconds{2}};
+};
+
+/// status 0 when no answer came.
+struct http_answer
+{
+    int status{};
+    std::map<std::string, std::string> headers;
+    std::string body;
+    /// Nobody listens at the address.
+    bool refused{};
+};
+
+/// One request on a connection of its own, for control traffic; done is called once.
+void http_call(event_loop& loop, const http_request& request,
+               std::function<void(const http_answer&)> done);
+
+/// The same, waiting for the answer. For the command line and tests.
+http_answer http_call_and_wait(const http_request& request);
+
+} // namespace quincewing
--- /dev/null
+++ b/include/quincewing/peers/peers_options.hpp
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "quincewing/base/ids.hpp"
+#include "quincewing/base/time.hpp"
+
+#include <cstddef>
+#include <string>
+
+namespace quincewing {
+
+struct peers_options
+{
+    host_id self;
+    /// "ip:port" to listen on.
+    std::string address;
+    data_centre_id data_centre;
+    duration reconnect_least{millis{20}};
+    duration reconnect_most{seconds{1}};
+    /// Bytes of messages that wait for a slow peer; beyond this the connection is given up.
+    std::size_t max_pending{64UL * 1024 * 1024};
+};
+
+} // namespace quincewing
--- /dev/null
+++ b/include/quincewing/peers/peers_task.hpp
@@ -0,0 +1,97 @@
+#pragma once
+
+#include "quincewing/exchange/exchange.hpp"
+#include "quincewing/net/event_loop.hpp"
+#include "quincewing/peers/peers_options.hpp"
+#include "quincewing/wire/messages.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+struct evconnlistener;
+
+namespace quincewing {
+
+class peer_link;
+class peer_session;
+
+struct peers_counts
+{
+    std::uint64_t messages_sent{};
+    std::uint64_t messages_received{};
+    std::uint64_t bytes_sent{};
+    std::uint64_t bytes_received{};
+    std::uint64_t unreadable{};
+    std::uint64_t forwarded{};
+    std::uint64_t reconnects{};
+};
+
+struct peers_hooks
+{
+    std::function<void(const envelope&)> on_message;
+    /// A link to this host stands.
+    std::function<void(const host_id&, const data_centre_id&)> on_connected;
+    /// The host's process is known to be gone.
+    std::function<void(const host_id&)> on_process_gone;
+    /// A request forwarded by another host; its exchange is set up towards that host.
+    std::function<void(const exchange_ptr&)> on_request;
+    std::function<request_id()> next_request_id;
+};
+
+/// How a forwarded request failed before its answer began.
+struct forward_failure
+{
+    /// Bytes of it may have reached the peer.
+    bool handed_over{};
+};
+
+/// Connections to the other entry hosts: messages and forwarded requests on HTTP/2 streams.
+class peers_task
+{
+public:
+    peers_task(event_loop& loop, peers_options options, peers_hooks hooks);
+    ~peers_task();
+    peers_task(const peers_task&) = delete;
+    peers_task& operator=(const peers_task&) = delete;
+
+    /// Listens; returns false when the address cannot be had.
+    bool start();
+    /// Keeps a link to each of these addresses.
+    void connect_to(const std::set<std::string>& addresses);
+    void send(const host_id& to, const message& body);
+    /// Sends the request to the host that leads its server. The answer goes to the exchange;
+    /// failed is called instead when none began.
+    void forward(const host_id& to, const exchange_ptr& it,
+                 std::function<void(forward_failure)> failed);
+    [[nodiscard]] bool connected(const host_id& host) const;
+    [[nodiscard]] const peers_counts& counts() const { return counts_; }
+
+private:
+    friend class peer_link;
+    friend class peer_session;
+
+    void on_accept(int fd);
+    void drop_session(peer_session* it);
+    void on_refused(peer_link& it);
+    void on_identity(peer_link& it, const host_id& host, const data_centre_id& data_centre);
+    peer_link* link_to(const host_id& host) const;
+
+    event_loop& loop_;
+    peers_options options_;
+    peers_hooks hooks_;
+    peers_counts counts_;
+    evconnlistener* listener_{};
+    std::map<std::string, std::unique_ptr<peer_link>> links_;
+    std::vector<std::unique_ptr<peer_session>> sessions_;
+    std::vector<std::unique_ptr<peer_session>> dropped_;
+    timer drop_timer_;
+    std::minstd_rand jitter_;
+};
+
+} // namespace quincewing
--- /dev/null
+++ b/src/app/main.cpp
@@ -0,0 +1,19 @@
+#include "command_line.hpp"
+#include "operator_commands.hpp"
+#include "serve.hpp"
+
+int main(int argc, char** argv)
+{
+    int status = 0;
+    const auto line = quincewing::read_command_line(argc, argv, status);
+    if (!line) {
+        return status;
+    }
+    if (line->command == "serve") {
+        return quincewing::serve(*line);
+    }
+    if (line->command == "check") {
+        return quincewing::check(*line);
+    }
+    return quincewing::run_operator_command(*line);
+}
--- /dev/null
+++ b/src/app/serve.cpp
@@ -0,0 +1,132 @@
+#include "serve.hpp"
+
+#include "quincewing/callers/callers_task.hpp"
+#include "quincewing/host/host_task.hpp"
+#include "quincewing/operators/operators_task.hpp"
+
+#include <csignal>
+#include <event2/event.h>
+#include <glog/logging.h>
+#include <iostream>
+#include <memory>
+#include <random>
+
+namespace quincewing {
+
+namespace {
+
+constexpr int bad_settings = 2;
+constexpr int cannot_listen = 3;
+
+tl::expected<host_settings, int> load(const command_line& line)
+{
+    auto settings = read_settings_file(line.settings);
+    if (settings) {
+        return std::move(*settings);
+    }
+    for (const auto& it : settings.error()) {
+        std::cerr << it.to_string() << "\n";
+    }
+    return tl::make_unexpected(bad_settings);
+}
+
+void start_logging(const host_settings& settings)
+{
+    if (settings.log_folder.empty()) {
+        FLAGS_logtostderr = true;
+    } else {
+        FLAGS_log_dir = settings.log_folder;
+    }
+    FLAGS_logbufsecs = 0;
+    google::InitGoogleLogging("quincewing");
+}
+
+host_id new_host_id(const host_settings& settings)
+{
+    std::random_device random;
+    const auto instance = (static_cast<std::uint64_t>(random()) << 32U) | random();
+    return make_host_id(settings.address, instance);
+}
+
+/// Stops the loop gracefully at the first signal and at once at the second.
+class stop_signals
+{
+public:
+    stop_signals(event_loop& loop, host_task& host) : loop_(loop), host_(host)
+    {
+        const auto call = [](evutil_socket_t, short, void* arg) {
+            static_cast<stop_signals*>(arg)->on_signal();
+        };
+        term_ = evsignal_new(loop.base(), SIGTERM, call, this);
+        interrupt_ = evsignal_new(loop.base(), SIGINT, call, this);
+        event_add(term_, nullptr);
+        event_add(interrupt_, nullptr);
+    }
+    ~stop_signals()
+    {
+        event_free(term_);
+        event_free(interrupt_);
+    }
+    stop_signals(const stop_signals&) = delete;
+    stop_signals& operator=(const stop_signals&) = delete;
+
+private:
+    void on_signal()
+    {
+        if (host_.stopping()) {
+            loop_.stop();
+            return;
+        }
+        LOG(INFO) << "change=stopping about=" << host_.core().options().self.value;
+        host_.stop([this] { loop_.stop(); });
+    }
+
+    event_loop& loop_;
+    host_task& host_;
+    event* term_{};
+    event* interrupt_{};
+};
+
+} // namespace
+
+int check(const command_line& line)
+{
+    const auto settings = load(line);
+    if (!settings) {
+        return settings.error();
+    }
+    std::cout << line.settings << ": " << settings->services.size() << " services, "
+              << settings->servers.size() << " servers, good\n";
+    return 0;
+}
+
+int serve(const command_line& line)
+{
+    const auto settings = load(line);
+    if (!settings) {
+        return settings.error();
+    }
+    start_logging(*settings);
+    std::signal(SIGPIPE, SIG_IGN);
+    event_loop loop;
+    const auto self = new_host_id(*settings);
+    host_task host{loop, *settings, self};
+    callers_task callers{loop, host};
+    operators_task operators{loop, host};
+    const bool listening = host.start() && callers.start() && operators.start();
+    if (!listening) {
+        LOG(ERROR) << "change=cannot_listen about=" << settings->address << " or "
+                   << settings->callers << " or " << settings->operators;
+        return cannot_listen;
+    }
+    stop_signals signals{loop, host};
+    LOG(INFO) << "change=started about=" << self.value << " data_centre=" << settings->data_centre
+              << " callers=" << settings->callers << " operators=" << settings->operators;
+    loop.run();
+    LOG(INFO) << "change=stopped about=" << self.value;
+    google::FlushLogFiles(google::INFO);
+    // The sockets end with the process; taking the tasks apart in order gains nothing.
+    std::_Exit(0);
+}
+
+} // namespace quincewing
--- /dev/null
+++ b/src/libs/net/event_loop.cpp
@@ -0,0 +1,94 @@
+#include "quincewing/net/event_loop.hpp"
+
+#include <ctime>
+#include <event2/event_struct.h>
+
+namespace quincewing {
+
+event_loop::event_loop() : base_(event_base_new()) {}
+
+event_loop::~event_loop()
+{
+    event_base_free(base_);
+}
+
+void event_loop::run()
+{
+    event_base_loop(base_, EVLOOP_NO_EXIT_ON_EMPTY);
+}
+
+void event_loop::stop()
+{
+    event_base_loopbreak(base_);
+}
+
+// CLOCK_MONOTONIC goes on while the process is frozen, which leases rely on.
+instant monotonic_now()
+{
+    timespec it{};
+    clock_gettime(CLOCK_MONOTONIC, &it);
+    return instant{duration{it.tv_sec * 1'000'000LL + it.tv_nsec / 1'000}};
+}
+
+timeval to_timeval(duration it)
+{
+    return {.tv_sec = it.count() / 1'000'000, .tv_usec = it.count() % 1'000'000};
+}
+
+struct timer::state
+{
+    event it{};
+    std::function<void()> fire;
+    duration period{};
+    bool soon_pending{};
+};
+
+timer::timer(event_loop& loop, std::function<void()> fire) : state_(std::make_unique<state>())
+{
+    state_->fire = std::move(fire);
+    const auto call = [](evutil_socket_t, short, void* arg) {
+        auto& self = *static_cast<state*>(arg);
+        self.soon_pending = false;
+        if (self.period > duration{0}) {
+            const auto tv = to_timeval(self.period);
+            event_add(&self.it, &tv);
+        }
+        self.fire();
+    };
+    event_assign(&state_->it, loop.base(), -1, 0, call, state_.get());
+}
+
+timer::~timer()
+{
+    event_del(&state_->it);
+}
+
+void timer::once(duration after)
+{
+    state_->period = duration{0};
+    const auto tv = to_timeval(after);
+    event_add(&state_->it, &tv);
+}
+
+void timer::every(duration period)
+{
+    state_->period = period;
+    const auto tv = to_timeval(period);
+    event_add(&state_->it, &tv);
+}
+
+void timer::soon()
+{
+    if (state_->soon_pending) {
+        return;
+    }
+    state_->soon_pending = true;
+    event_active(&state_->it, EV_TIMEOUT, 0);
+}
+
+void timer::cancel()
+{
+    event_del(&state_->it);
+}
+
+} // namespace quincewing
--- a/src/libs/settings/placeholder.cpp
+++ /dev/null
@@ -1,1 +0,0 @@
-namespace quincewing { }
--- /dev/null
+++ b/src/plugins/backends/backend_pool.cpp
@@ -0,0 +1,272 @@
+#include "quincewing/backends/backend_pool.hpp"
+
+#include "backend_connection.hpp"
+
+#include "quincewing/net/http_call.hpp"
+
+#include <algorithm>
+#include <sstream>
+
+namespace quincewing {
+
+backend_pool::backend_pool(event_loop& loop, server_id server, std::string address,
+                           backend_options options, done_hook done)
+    : loop_(loop), server_(std::move(server)), address_(std::move(address)), options_(options),
+      done_(std::move(done)), drop_timer_(loop, [this] { dropped_.clear(); }),
+      alive_(std::make_shared<bool>(true))
+{
+}
+
+backend_pool::~backend_pool()
+{
+    *alive_ = false;
+}
+
+void backend_pool::send(const exchange_ptr& it, const fence& at)
+{
+    ++counts_.requests;
+    start({.it = it, .at = at});
+}
+
+// The newest answer first, so that unused connections grow old and are closed.
+backend_connection* backend_pool::pick(instant now, bool idempotent)
+{
+    backend_connection* best = nullptr;
+    for (const auto& it : connections_) {
+        const bool good = !it->busy() && it->used() &&
+                          (idempotent || now - it->last_answer() <= options_.fresh);
+        if (good && (best == nullptr || it->last_answer() > best->last_answer())) {
+            best = it.get();
+        }
+    }
+    return best;
+}
+
+void backend_pool::start(const waiting& it)
+{
+    const auto now = monotonic_now();
+    auto* connection = pick(now, it.it->request.idempotent);
+    if (connection == nullptr && connections_.size() >= options_.max_connections) {
+        // Room for a new one is made by closing an idle one that is too old for this request.
+        const auto idle = std::find_if(connections_.begin(), connections_.end(),
+                                       [](const auto& c) { return !c->busy(); });
+        if (idle == connections_.end()) {
+            waiting_.push_back(it);
+            return;
+        }
+        drop(**idle);
+    }
+    if (connection == nullptr) {
+        connections_.push_back(std::make_unique<backend_connection>(loop_, *this, address_));
+        connection = connections_.back().get();
+        ++counts_.connections_opened;
+    }
+    connection->send(it, now);
+}
+
+void backend_pool::pump()
+{
+    while (!waiting_.empty()) {
+        const bool room = connections_.size() < options_.max_connections ||
+                          std::any_of(connections_.begin(), connections_.end(),
+                                      [](const auto& it) { return !it->busy(); });
+        if (!room) {
+            return;
+        }
+        const auto it = waiting_.front();
+        waiting_.pop_front();
+        start(it);
+    }
+}
+
+void backend_pool::on_answered(backend_connection& from)
+{
+    budget_.on_success();
+    const auto it = from.current();
+    const auto result = from.result();
+    from.current() = {};
+    if (from.aborted) {
+        ++counts_.late_answers;
+        return;
+    }
+    if (result.verdict == verdict::ran && it.it->on_end) {
+        it.it->on_end(true);
+    }
+    done_(it.it, result);
+    pump();
+}
+
+void backend_pool::on_broken(backend_connection& from)
+{
+    ++counts_.connections_broken;
+    const auto it = from.current();
+    const bool handed = from.handed();
+    const bool aborted = from.aborted;
+    const bool head = from.head_received();
+    drop(from);
+    if (aborted) {
+        return;
+    }
+    if (head) {
+        if (it.it->on_end) {
+            it.it->on_end(false);
+        }
+        done_(it.it, {.verdict = verdict::unknown});
+        pump();
+        return;
+    }
+    // Whether the server's process is gone tells a crash from a lost connection.
+    probe([this, it, handed](bool /*answered*/, bool refused) {
+        finish_broken(it, handed, refused);
+    });
+}
+
+void backend_pool::finish_broken(const waiting& it, bool handed, bool crashed)
+{
+    const bool may_retry = it.it->request.idempotent && !it.retried && !crashed &&
+                           monotonic_now() < it.it->request.deadline;
+    if ((may_retry && budget_.take())) {
+        ++counts_.retries;
+        auto again = it;
+        again.retried = true;
+        start(again);
+        return;
+    }
+    counts_.crashes += crashed && handed ? 1 : 0;
+    done_(it.it, {.verdict = handed ? verdict::unknown : verdict::not_run,
+                  .server_crashed = crashed && handed});
+    pump();
+}
+
+void backend_pool::drop(backend_connection& it)
+{
+    const auto found = std::find_if(connections_.begin(), connections_.end(),
+                                    [&](const auto& c) { return c.get() == &it; });
+    if (found == connections_.end()) {
+        return;
+    }
+    // It may be on the stack of its own callback: freed after that.
+    dropped_.push_back(std::move(*found));
+    connections_.erase(found);
+    drop_timer_.soon();
+}
+
+void backend_pool::abort(request_id id)
+{
+    for (const auto& it : connections_) {
+        if (!it->busy() || it->current().it == nullptr || it->current().it->id != id) {
+            continue;
+        }
+        const auto exchange = it->current().it;
+        const bool handed = it->handed();
+        it->aborted = true;
+        exchange->resume = nullptr;
+        drop(*it);
+        done_(exchange, {.verdict = handed ? verdict::unknown : verdict::not_run});
+        pump();
+        return;
+    }
+    const auto found = std::find_if(waiting_.begin(), waiting_.end(),
+                                    [&](const auto& it) { return it.it->id == id; });
+    if (found != waiting_.end()) {
+        const auto exchange = found->it;
+        waiting_.erase(found);
+        done_(exchange, {.verdict = verdict::not_run});
+    }
+}
+
+void backend_pool::probe(std::function<void(bool, bool)> done)
+{
+    http_request request{.address = address_,
+                         .path = "/quincewing/health",
+                         .timeout = options_.command_timeout};
+    http_call(loop_, request,
+              [alive = alive_, done = std::move(done)](const http_answer& answer) {
+                  if (*alive) {
+                      done(answer.status != 0, answer.refused);
+                  }
+              });
+}
+
+void backend_pool::command(const server_command& it, std::function<void(command_result)> done)
+{
+    std::ostringstream body;
+    body << "lease_ms " << std::chrono::duration_cast<millis>(it.lease).count() << "\n";
+    for (const auto& item : it.items) {
+        body << item.shard.service.value << " " << item.shard.number << " " << item.fence.offset
+             << " " << item.fence.round << "\n";
+    }
+    const bool orders = !it.items.empty();
+    http_request request{.method = orders ? "POST" : "GET",
+                         .address = address_,
+                         .path = it.kind == command_kind::revoke ? "/quincewing/revoke"
+                                 : orders                        ? "/quincewing/grant"
+                                                                 : "/quincewing/health",
+                         .body = orders ? body.str() : "",
+                         .timeout = options_.command_timeout};
+    http_call(loop_, request,
+              [alive = alive_, done = std::move(done)](const http_answer& answer) {
+                  if (!*alive) {
+                      return;
+                  }
+                  if (answer.status == 0) {
+                      done(answer.refused ? command_result::process_gone
+                                          : command_result::no_answer);
+                  } else {
+                      done(answer.status == 409 ? command_result::fenced : command_result::done);
+                  }
+              });
+}
+
+// A late request may be on a connection that something in between has lost track of. When a new
+// connection answers and this one does not, it is given up.
+void backend_pool::check_silent(backend_connection& it)
+{
+    it.checking = true;
+    auto* connection = &it;
+    const auto id = it.current().it->id;
+    probe([this, connection, id](bool answered, bool /*refused*/) {
+        const auto found = std::find_if(connections_.begin(), connections_.end(),
+                                        [&](const auto& c) { return c.get() == connection; });
+        if (found == connections_.end() || !connection->busy() ||
+            connection->current().it->id != id) {
+            return;
+        }
+        connection->checking = false;
+        connection->checked = true;
+        if (!answered || connection->head_received()) {
+            return;
+        }
+        ++counts_.connections_silent;
+        const auto late = connection->current();
+        const bool handed = connection->handed();
+        connection->aborted = true;
+        drop(*connection);
+        finish_broken(late, handed, false);
+    });
+}
+
+void backend_pool::sweep(instant now)
+{
+    std::vector<backend_connection*> old;
+    for (const auto& it : connections_) {
+        if (!it->busy()) {
+            if (now - it->last_answer() > options_.idle) {
+                old.push_back(it.get());
+            }
+            continue;
+        }
+        const bool late = now - it->sent_at() > options_.late && !it->head_received();
+        // A new connection cannot be silent by having been forgotten, and a run that must not be
+        // repeated gains nothing from giving its connection up.
+        if (late && it->used() && it->current().it->request.idempotent && !it->checking &&
+            !it->checked) {
+            check_silent(*it);
+        }
+    }
+    for (auto* it : old) {
+        drop(*it);
+    }
+}
+
+} // namespace quincewing
--- /dev/null
+++ b/src/plugins/callers/callers_task.cpp
@@ -0,0 +1,119 @@
+#include "quincewing/callers/callers_task.hpp"
+
+#include "caller_request.hpp"
+
+#include "quincewing/net/endpoint.hpp"
+#include "quincewing/net/evhtp_hook.hpp"
+
+#include <cstdlib>
+#include <event2/buffer.h>
+#include <evhtp/evhtp.h>
+
+namespace quincewing {
+
+namespace {
+
+constexpr int listen_backlog = 1024;
+
+} // namespace
+
+struct callers_task::state
+{
+    event_loop& loop;
+    host_task& host;
+    evhtp_t* server{};
+    std::uint64_t connections{};
+
+    static evhtp_res on_accept(evhtp_connection_t* connection, void* arg);
+    static evhtp_res on_connection_fini(evhtp_connection_t* connection, void* arg);
+    static evhtp_res on_headers(evhtp_request_t* request, evhtp_headers_t* headers, void* arg);
+    static void on_health(evhtp_request_t* request, void* arg);
+    static void on_ready(evhtp_request_t* request, void* arg);
+};
+
+evhtp_res callers_task::state::on_accept(evhtp_connection_t* connection, void* arg)
+{
+    auto& self = *static_cast<state*>(arg);
+    if (self.connections >= self.host.settings().limits.caller_connections) {
+        ++self.host.metrics().counter("quincewing_connections_refused_total");
+        return EVHTP_RES_ERROR;
+    }
+    ++self.connections;
+    evhtp_connection_set_hook(connection, evhtp_hook_on_connection_fini,
+                              as_evhtp_hook(on_connection_fini), arg);
+    evhtp_connection_set_hook(connection, evhtp_hook_on_headers,
+                              as_evhtp_hook(on_headers), arg);
+    return EVHTP_RES_OK;
+}
+
+evhtp_res callers_task::state::on_connection_fini(evhtp_connection_t* /*connection*/, void* arg)
+{
+    --static_cast<state*>(arg)->connections;
+    return EVHTP_RES_OK;
+}
+
+// A body that is announced as too large is refused before it is read.
+evhtp_res callers_task::state::on_headers(evhtp_request_t* request, evhtp_headers_t* headers,
+                                          void* arg)
+{
+    const auto& self = *static_cast<state*>(arg);
+    const auto* length = evhtp_header_find(headers, "Content-Length");
+    const auto most = self.host.settings().limits.request_body;
+    if (length == nullptr || std::strtoull(length, nullptr, 10) <= most) {
+        return EVHTP_RES_OK;
+    }
+    evhtp_request_set_keepalive(request, 0);
+    evhtp_headers_add_header(request->headers_out,
+                             evhtp_header_new("Quincewing-Verdict", "not_run", 0, 0));
+    evhtp_send_reply(request, EVHTP_RES_ENTOOLARGE);
+    return EVHTP_RES_ENTOOLARGE;
+}
+
+void callers_task::state::on_health(evhtp_request_t* request, void* /*arg*/)
+{
+    evbuffer_add_printf(request->buffer_out, "ok\n");
+    evhtp_send_reply(request, EVHTP_RES_OK);
+}
+
+void callers_task::state::on_ready(evhtp_request_t* request, void* arg)
+{
+    const bool ready = static_cast<state*>(arg)->host.ready();
+    evbuffer_add_printf(request->buffer_out, ready ? "ready\n" : "not ready\n");
+    evhtp_send_reply(request, ready ? EVHTP_RES_OK : EVHTP_RES_SERVUNAVAIL);
+}
+
+callers_task::callers_task(event_loop& loop, host_task& host)
+    : state_(std::make_unique<state>(state{.loop = loop, .host = host}))
+{
+}
+
+callers_task::~callers_task()
+{
+    if (state_->server != nullptr) {
+        evhtp_unbind_socket(state_->server);
+        evhtp_free(state_->server);
+    }
+}
+
+bool callers_task::start()
+{
+    const auto& settings = state_->host.settings();
+    const auto at = parse_endpoint(settings.callers);
+    auto* server = evhtp_new(state_->loop.base(), nullptr);
+    state_->server = server;
+    evhtp_set_max_body_size(server, settings.limits.request_body);
+    const auto idle = to_timeval(settings.limits.caller_idle);
+    evhtp_set_timeouts(server, &idle, &idle);
+    evhtp_set_post_accept_cb(server, state::on_accept, state_.get());
+    evhtp_set_cb(server, "/health", state::on_health, state_.get());
+    evhtp_set_cb(server, "/ready", state::on_ready, state_.get());
+    evhtp_set_gencb(
+        server,
+        [](evhtp_request_t* request, void* arg) {
+            caller_request::take(static_cast<state*>(arg)->host, request);
+        },
+        state_.get());
+    return evhtp_bind_socket(server, at.ip.c_str(), at.port, listen_backlog) == 0;
+}
+
+} // namespace quincewing
--- /dev/null
+++ b/src/plugins/peers/peer_link.cpp
@@ -0,0 +1,179 @@
+#include "peer_link.hpp"
+
+#include "forward_headers.hpp"
+
+#include "quincewing/net/endpoint.hpp"
+
+#include <algorithm>
+#include <cerrno>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+
+namespace quincewing {
+
+namespace {
+
+/// What a forwarded request needs until its stream closes.
+struct forward_state
+{
+    exchange_ptr it;
+    std::function<void(forward_failure)> failed;
+    /// Data that the caller's side has not taken yet, and its stream.
+    std::size_t held_back{};
+    bool head{};
+    bool whole{};
+};
+
+} // namespace
+
+peer_link::peer_link(event_loop& loop, peers_task& owner, std::string address)
+    : loop_(loop), owner_(owner), address_(std::move(address)),
+      backoff_(owner.options_.reconnect_least), reconnect_timer_(loop, [this] { connect(); })
+{
+    connect();
+}
+
+void peer_link::connect()
+{
+    const auto to = parse_endpoint(address_);
+    connected_ = false;
+    auto* bev = bufferevent_socket_new(loop_.base(), -1, BEV_OPT_CLOSE_ON_FREE);
+    connection_ = std::make_unique<h2_connection>(
+        loop_, false, bev,
+        h2_connection::hooks{
+            .on_closed = [this](int error) { on_closed(error); },
+            .on_connected =
+                [this] {
+                    connected_ = true;
+                    open_messages();
+                },
+            .on_bytes_out = [this](std::size_t n) { owner_.counts_.bytes_sent += n; },
+            .on_bytes_in = [this](std::size_t n) { owner_.counts_.bytes_received += n; }});
+    bufferevent_socket_connect_hostname(bev, nullptr, AF_INET, to.ip.c_str(), to.port);
+}
+
+void peer_link::open_messages()
+{
+    auto* stream = connection_->open({{":method", "POST"},
+                                      {":scheme", "http"},
+                                      {":authority", "quincewing"},
+                                      {":path", "/messages"},
+                                      {"qw-host", owner_.options_.self.value},
+                                      {"qw-data-centre", owner_.options_.data_centre.value}},
+                                     true);
+    if (stream == nullptr) {
+        return;
+    }
+    messages_ = stream->id;
+    stream->on_headers = [this](h2_stream& it) {
+        const auto* host = find_header(it.headers, "qw-host");
+        const auto* data_centre = find_header(it.headers, "qw-data-centre");
+        if (host == nullptr || data_centre == nullptr) {
+            return;
+        }
+        host_ = host_id{*host};
+        stands_ = true;
+        backoff_ = owner_.options_.reconnect_least;
+        owner_.on_identity(*this, host_, data_centre_id{*data_centre});
+    };
+}
+
+void peer_link::on_closed(int system_error)
+{
+    const bool refused = !connected_ && system_error == ECONNREFUSED;
+    const bool stood = stands_;
+    stands_ = false;
+    host_ = {};
+    messages_ = -1;
+    if (refused) {
+        owner_.on_refused(*this);
+    }
+    if (stood) {
+        // The first try after a loss comes at once: a refusal then is the proof of a death.
+        ++owner_.counts_.reconnects;
+        reconnect_timer_.soon();
+        return;
+    }
+    reconnect_later();
+}
+
+void peer_link::reconnect_later()
+{
+    backoff_ = std::min(backoff_ * 2, owner_.options_.reconnect_most);
+    std::uniform_int_distribution<duration::rep> spread{backoff_.count() / 2, backoff_.count()};
+    reconnect_timer_.once(duration{spread(owner_.jitter_)});
+}
+
+void peer_link::send(const std::string& data)
+{
+    auto* stream = stands_ ? connection_->find(messages_) : nullptr;
+    if (stream == nullptr) {
+        return;
+    }
+    if (connection_->pending_bytes() > owner_.options_.max_pending) {
+        return;
+    }
+    connection_->write(*stream, data);
+}
+
+void peer_link::forward(const exchange_ptr& it, std::function<void(forward_failure)> failed)
+{
+    const auto& body = it->request.body;
+    auto* stream = stands_ ? connection_->open(to_stream_headers(*it, monotonic_now()),
+                                               !body.empty())
+                           : nullptr;
+    if (stream == nullptr) {
+        failed({.handed_over = false});
+        return;
+    }
+    ++owner_.counts_.forwarded;
+    if (!body.empty()) {
+        connection_->write(*stream, body);
+        connection_->end(*stream);
+    }
+    const auto state = std::make_shared<forward_state>(
+        forward_state{.it = it, .failed = std::move(failed)});
+    auto* connection = connection_.get();
+    const auto id = stream->id;
+    it->abort = [this, connection, id] {
+        if (connection_.get() != connection) {
+            return;
+        }
+        if (auto* found = connection->find(id)) {
+            connection->reset(*found);
+        }
+    };
+    stream->on_headers = [this, connection, id, state](h2_stream& from) {
+        state->head = true;
+        state->it->resume = [this, connection, id, state] {
+            const auto n = state->held_back;
+            state->held_back = 0;
+            if (connection_.get() == connection && n > 0) {
+                connection->consume(id, n);
+            }
+        };
+        state->it->on_head(head_from_stream(from.headers));
+    };
+    stream->on_data = [state](h2_stream&, const std::uint8_t* data, std::size_t n) -> std::size_t {
+        auto* buf = evbuffer_new();
+        evbuffer_add(buf, data, n);
+        const bool more = !state->it->on_body || state->it->on_body(buf);
+        evbuffer_free(buf);
+        if (more) {
+            return n;
+        }
+        state->held_back += n;
+        return 0;
+    };
+    stream->on_remote_end = [state](h2_stream&) { state->whole = true; };
+    stream->on_close = [state](h2_stream&, std::uint32_t) {
+        state->it->resume = nullptr;
+        if (state->head) {
+            state->it->on_end(state->whole);
+        } else {
+            state->failed({.handed_over = true});
+        }
+    };
+}
+
+} // namespace quincewing
--- /dev/null
+++ b/src/plugins/peers/peer_link.hpp
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "h2_connection.hpp"
+
+#include "quincewing/peers/peers_task.hpp"
+
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace quincewing {
+
+/// The connection that this host keeps to one other entry host.
+class peer_link
+{
+public:
+    peer_link(event_loop& loop, peers_task& owner, std::string address);
+
+    void send(const std::string& data);
+    void forward(const exchange_ptr& it, std::function<void(forward_failure)> failed);
+    /// Who answers at the address; empty until it has told.
+    [[nodiscard]] const host_id& host() const { return host_; }
+    [[nodiscard]] bool stands() const { return stands_; }
+    [[nodiscard]] const std::string& address() const { return address_; }
+
+    /// The process that was last known at the address.
+    host_id last_known;
+
+private:
+    void connect();
+    void open_messages();
+    void on_closed(int system_error);
+    void reconnect_later();
+
+    event_loop& loop_;
+    peers_task& owner_;
+    std::string address_;
+    std::unique_ptr<h2_connection> connection_;
+    std::int32_t messages_{-1};
+    host_id host_;
+    bool stands_{};
+    bool connected_{};
+    duration backoff_;
+    timer reconnect_timer_;
+};
+
+} // namespace quincewing
--- /dev/null
+++ b/src/plugins/peers/peer_session.cpp
@@ -0,0 +1,117 @@
+#include "peer_session.hpp"
+
+#include "forward_headers.hpp"
+
+#include "quincewing/codec/codec.hpp"
+
+#include <cstring>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+
+namespace quincewing {
+
+peer_session::peer_session(event_loop& loop, peers_task& owner, int fd) : owner_(owner)
+{
+    auto* bev = bufferevent_socket_new(loop.base(), fd, BEV_OPT_CLOSE_ON_FREE);
+    connection_ = std::make_unique<h2_connection>(
+        loop, true, bev,
+        h2_connection::hooks{
+            .on_stream = [this](h2_stream& it) { on_stream(it); },
+            .on_closed = [this](int) { owner_.drop_session(this); },
+            .on_bytes_out = [this](std::size_t n) { owner_.counts_.bytes_sent += n; },
+            .on_bytes_in = [this](std::size_t n) { owner_.counts_.bytes_received += n; }});
+}
+
+void peer_session::on_stream(h2_stream& it)
+{
+    const auto* path = find_header(it.headers, ":path");
+    if (path != nullptr && *path == "/messages") {
+        take_messages(it);
+    } else {
+        take_request(it);
+    }
+}
+
+void peer_session::take_messages(h2_stream& it)
+{
+    connection_->respond(it, {{":status", "200"},
+                              {"qw-host", owner_.options_.self.value},
+                              {"qw-data-centre", owner_.options_.data_centre.value}});
+    it.on_data = [this](h2_stream&, const std::uint8_t* data, std::size_t n) {
+        feed_messages(data, n);
+        return n;
+    };
+}
+
+// Messages follow each other without frames of their own: MessagePack knows where each ends.
+void peer_session::feed_messages(const std::uint8_t* data, std::size_t n)
+{
+    unpacker_.reserve_buffer(n);
+    std::memcpy(unpacker_.buffer(), data, n);
+    unpacker_.buffer_consumed(n);
+    try {
+        msgpack::object_handle handle;
+        while (unpacker_.next(handle)) {
+            envelope it;
+            codec::get(handle.get(), it);
+            ++owner_.counts_.messages_received;
+            owner_.hooks_.on_message(it);
+        }
+    } catch (const std::exception&) {
+        ++owner_.counts_.unreadable;
+    }
+}
+
+void peer_session::take_request(h2_stream& it)
+{
+    auto request = from_stream_headers(it.headers, monotonic_now());
+    request->id = owner_.hooks_.next_request_id();
+    connect_answer(request, it.id);
+    it.on_data = [request](h2_stream&, const std::uint8_t* data, std::size_t n) {
+        request->request.body.append(reinterpret_cast<const char*>(data), n);
+        return n;
+    };
+    it.on_remote_end = [this, request](h2_stream&) { owner_.hooks_.on_request(request); };
+    it.on_close = [request](h2_stream&, std::uint32_t error) {
+        request->on_head = nullptr;
+        request->on_body = nullptr;
+        request->on_end = nullptr;
+        if (error != NGHTTP2_NO_ERROR && request->abort) {
+            request->abort();
+        }
+    };
+}
+
+void peer_session::connect_answer(const exchange_ptr& request, std::int32_t stream)
+{
+    request->on_head = [this, stream](const response_head& head) {
+        if (auto* it = connection_->find(stream)) {
+            connection_->respond(*it, to_stream_headers(head));
+        }
+    };
+    request->on_body = [this, stream, raw = request.get()](evbuffer* data) {
+        auto* it = connection_->find(stream);
+        if (it == nullptr) {
+            return true;
+        }
+        it->on_drained = [raw] {
+            if (raw->resume) {
+                raw->resume();
+            }
+        };
+        return connection_->write(*it, data);
+    };
+    request->on_end = [this, stream](bool whole) {
+        auto* it = connection_->find(stream);
+        if (it == nullptr) {
+            return;
+        }
+        if (whole) {
+            connection_->end(*it);
+        } else {
+            connection_->reset(*it);
+        }
+    };
+}
+
+} // namespace quincewing
--- /dev/null
+++ b/src/plugins/peers/peers_task.cpp
@@ -0,0 +1,128 @@
+#include "quincewing/peers/peers_task.hpp"
+
+#include "peer_link.hpp"
+#include "peer_session.hpp"
+
+#include "quincewing/base/hash.hpp"
+#include "quincewing/net/endpoint.hpp"
+
+#include <algorithm>
+#include <arpa/inet.h>
+#include <event2/listener.h>
+
+namespace quincewing {
+
+peers_task::peers_task(event_loop& loop, peers_options options, peers_hooks hooks)
+    : loop_(loop), options_(std::move(options)), hooks_(std::move(hooks)),
+      drop_timer_(loop, [this] { dropped_.clear(); }),
+      jitter_(static_cast<std::uint32_t>(stable_hash(options_.self.value)))
+{
+}
+
+peers_task::~peers_task()
+{
+    links_.clear();
+    sessions_.clear();
+    if (listener_ != nullptr) {
+        evconnlistener_free(listener_);
+    }
+}
+
+bool peers_task::start()
+{
+    const auto at = parse_endpoint(options_.address);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(at.port);
+    inet_pton(AF_INET, at.ip.c_str(), &address.sin_addr);
+    const auto accept = [](evconnlistener*, evutil_socket_t fd, sockaddr*, int, void* arg) {
+        static_cast<peers_task*>(arg)->on_accept(fd);
+    };
+    listener_ = evconnlistener_new_bind(
+        loop_.base(), accept, this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, -1,
+        reinterpret_cast<sockaddr*>(&address), sizeof address);
+    return listener_ != nullptr;
+}
+
+void peers_task::on_accept(int fd)
+{
+    sessions_.push_back(std::make_unique<peer_session>(loop_, *this, fd));
+}
+
+void peers_task::drop_session(peer_session* it)
+{
+    const auto found = std::find_if(sessions_.begin(), sessions_.end(),
+                                    [it](const auto& s) { return s.get() == it; });
+    if (found != sessions_.end()) {
+        dropped_.push_back(std::move(*found));
+        sessions_.erase(found);
+        drop_timer_.soon();
+    }
+}
+
+void peers_task::connect_to(const std::set<std::string>& addresses)
+{
+    for (const auto& address : addresses) {
+        if (address != options_.address && !links_.contains(address)) {
+            links_[address] = std::make_unique<peer_link>(loop_, *this, address);
+        }
+    }
+}
+
+void peers_task::on_refused(peer_link& it)
+{
+    if (it.last_known.value.empty()) {
+        return;
+    }
+    const auto gone = it.last_known;
+    it.last_known = {};
+    hooks_.on_process_gone(gone);
+}
+
+void peers_task::on_identity(peer_link& it, const host_id& host, const data_centre_id& data_centre)
+{
+    const auto before = it.last_known;
+    it.last_known = host;
+    if (!before.value.empty() && before != host) {
+        hooks_.on_process_gone(before);
+    }
+    hooks_.on_connected(host, data_centre);
+}
+
+peer_link* peers_task::link_to(const host_id& host) const
+{
+    const auto found = links_.find(address_of(host));
+    const bool stands = found != links_.end() && found->second->stands();
+    return stands && found->second->host() == host ? found->second.get() : nullptr;
+}
+
+bool peers_task::connected(const host_id& host) const
+{
+    return link_to(host) != nullptr;
+}
+
+void peers_task::send(const host_id& to, const message& body)
+{
+    const envelope it{.from = options_.self, .to = to, .body = body};
+    if (to == options_.self) {
+        hooks_.on_message(it);
+        return;
+    }
+    if (auto* link = link_to(to)) {
+        ++counts_.messages_sent;
+        link->send(encode_envelope(it));
+    }
+}
+
+void peers_task::forward(const host_id& to, const exchange_ptr& it,
+                         std::function<void(forward_failure)> failed)
+{
+    auto* link = link_to(to);
+    if (link == nullptr) {
+        failed({.handed_over = false});
+        return;
+    }
+    link->forward(it, std::move(failed));
+}
+
+} // namespace quincewing
