--- a/include/quincewing/backends/backend_pool.hpp
+++ b/include/quincewing/backends/backend_pool.hpp
@@ -46,7 +46,7 @@
     /// Gives the request's connection up; the done hook is told `unknown`.
     void abort(request_id id);
     /// Sends a grant, a revocation or a probe.
-    void command(const server_command& it, std::function<void(command_result)> done);
+    void command(const server_command& it, std::function<void(const command_reply&)> done);
     /// Closes idle connections and checks late ones. Call every few milliseconds.
     void sweep(instant now);
 
--- a/include/quincewing/control/effects.hpp
+++ b/include/quincewing/control/effects.hpp
@@ -78,6 +78,9 @@
     server_id server;
     command_kind kind{command_kind::grant};
     duration lease{};
+    /// The grant's end on the server's own clock, in microseconds. A grant that lay in a frozen
+    /// server's buffers is over by then, whenever it is read.
+    std::uint64_t until{};
     struct item
     {
         shard_id shard;
@@ -96,6 +99,14 @@
     process_gone
 };
 
+/// What came back of an order.
+struct command_reply
+{
+    command_result result{command_result::no_answer};
+    /// The server's clock when it answered, in microseconds; 0 when it did not tell.
+    std::uint64_t server_clock{};
+};
+
 /// A change of state worth a line in the log.
 struct state_change
 {
--- a/include/quincewing/control/host_core.hpp
+++ b/include/quincewing/control/host_core.hpp
@@ -67,7 +67,7 @@
     void on_process_gone(instant now, const host_id& host, effects& out);
     void on_host_list(instant now, const std::set<std::string>& addresses);
     void on_command_result(instant now, const server_id& server, std::uint64_t number,
-                           command_result result, effects& out);
+                           const command_reply& reply, effects& out);
     void tick(instant now, effects& out);
     /// Call after each batch of events.
     void flush(instant now, effects& out);
--- a/include/quincewing/control/server_agent.hpp
+++ b/include/quincewing/control/server_agent.hpp
@@ -57,7 +57,7 @@
     void on_late_answer(instant now, const late_answer& it, effects& out);
     void on_death(instant now, const host_id& host, const pair_surroundings& around,
                   effects& out);
-    void on_command_result(instant now, std::uint64_t number, command_result result,
+    void on_command_result(instant now, std::uint64_t number, const command_reply& reply,
                            effects& out);
     void tick(instant now, const pair_surroundings& around, const log_state& log, effects& out);
 
@@ -124,30 +124,36 @@
     void reconcile(instant now, const log_state& log, effects& out);
     void take_owned(instant now, const shard_id& shard, const shard_entry& entry);
     void hold(instant now, const shard_id& shard, shard_phase phase, fence at);
+    static void take_recorded(instant now, held_shard& held, const shard_entry& entry);
     void lose_owned(instant now, held_shard& held, effects& out);
     void refuse_waiting(instant now, held_shard& held, effects& out);
     void advance_shards(instant now, const log_state& log, effects& out);
     void ask_for_proof(instant now, const shard_id& shard, held_shard& held,
                        const log_state& log, effects& out);
+    void advance_granting(instant now, const shard_id& shard, held_shard& held, effects& out);
     void advance_drain(instant now, const shard_id& shard, held_shard& held, effects& out);
     void advance_revoke(instant now, held_shard& held);
     void revoke(instant now, const shard_id& shard, held_shard& held, effects& out);
     void command(instant now, server_command it, effects& out);
     void renew(instant now, effects& out);
-    void grant_items(instant now, std::vector<server_command::item> items, effects& out);
     void start_serving(instant now, const shard_id& shard, held_shard& held, effects& out);
     void regrant_released(instant now, const log_state& log);
     [[nodiscard]] bool in_flight_ended(instant now, const held_shard& held) const;
     void take_over_owned_elsewhere(instant now, const log_state& log);
+    [[nodiscard]] bool proof_in_hand(const shard_id& shard, const shard_entry& entry) const;
     void settle(instant now, const log_state& log, effects& out);
-    void on_server_answer(instant now, effects& out);
+    void on_server_answer(effects& out);
     void on_server_silence(instant now, bool gone, effects& out);
     void lose_server(instant now, effects& out);
     void fail_over(instant now, const log_state& log, effects& out);
     void give_alone(instant now, const log_state& log);
     void send_given(instant now, effects& out);
+    void end_alone(instant now);
+    [[nodiscard]] bool held_alone(const shard_id& shard, const shard_entry& entry) const;
     void record_given(instant now, const log_state& log, effects& out);
     void take_proof(instant now, const shard_release& it, effects& out);
+    void deny_taken(instant now, const host_id& from, const release_request& it, effects& out);
+    void take_back(instant now, const shard_id& shard);
     void take_alone(instant now, const host_id& from, const shard_release& it,
                     const log_state& log, effects& out);
     [[nodiscard]] shard_release make_release(instant now, const server_id& to,
@@ -211,7 +217,9 @@
     std::map<request_id, active_request> requests_;
     std::map<std::pair<shard_id, std::string>, request_id> runs_;
     std::map<std::uint64_t, pending_command> commands_;
-    instant last_grant_sent_{};
+    /// The server's clock as last told, and when that was received here.
+    std::uint64_t server_clock_{};
+    instant server_clock_at_{};
     instant next_renewal_{};
     std::optional<instant> silent_since_;
     std::optional<instant> lost_since_;
--- a/include/quincewing/control/shard_table.hpp
+++ b/include/quincewing/control/shard_table.hpp
@@ -38,8 +38,12 @@
     std::vector<request_id> waiting;
     instant since{};
     std::optional<instant> asked_at;
+    /// Taken without the log and not recorded in it yet: served until then at the latest.
+    std::optional<instant> alone_until;
     /// Server to ask for the proof, when the log's previous owner gave the shard away alone.
     server_id ask;
+    /// That server's word that it never took the shard.
+    server_id not_taken_by;
 };
 
 /// What is replicated to the standby about a shard beyond the log.
--- a/include/quincewing/wire/messages.hpp
+++ b/include/quincewing/wire/messages.hpp
@@ -63,6 +63,8 @@
     server_id to;
     shard_id shard;
     quincewing::fence fence;
+    /// Server that says it never took the shard that was given to it without the log.
+    server_id not_taken_by;
 
     template <class F>
     void each_field(F&& f)
@@ -71,6 +73,7 @@
         f(to);
         f(shard);
         f(fence);
+        f(not_taken_by);
     }
 };
 
@@ -83,8 +86,11 @@
     quincewing::fence fence;
     /// Not held here any more: given to this server without the log. Empty in a proof.
     server_id ask_instead;
-    /// Made without the log.
+    /// Never taken here, and never will be: the giver still has it.
+    bool not_taken{};
+    /// Made without the log, by the pair of this term in the log.
     bool alone{};
+    std::uint64_t term{};
     std::uint64_t blind_left{};
     std::vector<ledger_item> items;
 
@@ -96,7 +102,9 @@
         f(shard);
         f(fence);
         f(ask_instead);
+        f(not_taken);
         f(alone);
+        f(term);
         f(blind_left);
         f(items);
     }
--- a/src/libs/control/host_core.cpp
+++ b/src/libs/control/host_core.cpp
@@ -223,10 +223,10 @@
 }
 
 void host_core::on_command_result(instant now, const server_id& server, std::uint64_t number,
-                                  command_result result, effects& out)
+                                  const command_reply& reply, effects& out)
 {
     if (auto* agent = agent_for(server)) {
-        agent->on_command_result(now, number, result, out);
+        agent->on_command_result(now, number, reply, out);
     }
 }
 
--- a/src/libs/control/server_agent_pair.cpp
+++ b/src/libs/control/server_agent_pair.cpp
@@ -81,6 +81,7 @@
     silent_since_.reset();
     lost_since_.reset();
     process_gone_ = false;
+    server_clock_ = 0;
     queue_.cool_down();
     if (blind_) {
         out.note("ledger_lost", server_.value);
@@ -99,7 +100,6 @@
         return;
     }
     acting_since_ = now;
-    last_grant_sent_ = now;
     next_renewal_ = now;
     if (stood_by_ || blind_) {
         inherited_until_ = now + options_.max_request_time;
--- a/src/libs/control/server_agent_shards.cpp
+++ b/src/libs/control/server_agent_shards.cpp
@@ -57,7 +57,8 @@
         const bool given_here = fact != facts_.end() && fact->second.given_to.value.empty() &&
                                 fact->second.fence > entry.fence;
         if (given_here) {
-            hold(now, shard, shard_phase::granting, fact->second.fence);
+            // How long it may be served alone is not known here: the record has to be read first.
+            hold(now, shard, shard_phase::awaiting_proof, fact->second.fence);
         } else if (entry.previous == server_) {
             hold(now, shard, shard_phase::draining, {});
         }
@@ -71,7 +72,9 @@
     held.fence = at;
     held.since = now;
     held.asked_at.reset();
+    held.alone_until.reset();
     held.ask = {};
+    held.not_taken_by = {};
 }
 
 void server_agent::take_owned(instant now, const shard_id& shard, const shard_entry& entry)
@@ -91,10 +94,7 @@
     const auto held = held_.find(shard);
     const bool current = held != held_.end() && held->second.phase != shard_phase::released;
     if (current) {
-        if (entry.fence > held->second.fence && held->second.phase != shard_phase::awaiting_proof) {
-            held->second.fence = entry.fence;
-            held->second.phase = shard_phase::granting;
-        }
+        take_recorded(now, held->second, entry);
         return;
     }
     if (held != held_.end() && entry.fence <= held->second.fence) {
@@ -106,6 +106,26 @@
     hold(now, shard, proven ? shard_phase::granting : shard_phase::awaiting_proof, entry.fence);
 }
 
+// A move made alone goes on under the log's fence if it was recorded in time. Otherwise the old
+// owner may have a new leader that serves the shard, which has to be asked.
+void server_agent::take_recorded(instant now, held_shard& held, const shard_entry& entry)
+{
+    if (entry.fence <= held.fence) {
+        return;
+    }
+    held.fence = entry.fence;
+    const bool late = held.alone_until && now >= *held.alone_until;
+    held.alone_until.reset();
+    held.ask = {};
+    held.not_taken_by = {};
+    if (late || held.phase == shard_phase::awaiting_proof) {
+        held.phase = shard_phase::awaiting_proof;
+        held.asked_at.reset();
+        return;
+    }
+    held.phase = shard_phase::granting;
+}
+
 void server_agent::lose_owned(instant now, held_shard& held, effects& out)
 {
     refuse_waiting(now, held, out);
@@ -134,15 +154,14 @@
     if (!lost_since_) {
         regrant_released(now, log);
     }
+    end_alone(now);
     for (auto& [shard, held] : held_) {
         switch (held.phase) {
         case shard_phase::awaiting_proof:
             ask_for_proof(now, shard, held, log, out);
             break;
         case shard_phase::granting:
-            if (!options_.checks_fences && !lost_since_) {
-                start_serving(now, shard, held, out);
-            }
+            advance_granting(now, shard, held, out);
             break;
         case shard_phase::draining:
             advance_drain(now, shard, held, out);
@@ -162,6 +181,18 @@
     send_given(now, out);
 }
 
+// A shard that comes while the server is lost is passed on like those that were here.
+void server_agent::advance_granting(instant now, const shard_id& shard, held_shard& held,
+                                    effects& out)
+{
+    if (lost_since_) {
+        held.phase = shard_phase::draining;
+        held.since = now;
+    } else if (!options_.checks_fences) {
+        start_serving(now, shard, held, out);
+    }
+}
+
 void server_agent::ask_for_proof(instant now, const shard_id& shard, held_shard& held,
                                  const log_state& log, effects& out)
 {
@@ -169,7 +200,7 @@
         return;
     }
     const auto entry = log.shards().find(shard);
-    if (entry == log.shards().end()) {
+    if (entry == log.shards().end() || entry->second.owner != server_) {
         return;
     }
     // Settled meanwhile by the leader before us: the proof was in hand then.
@@ -180,7 +211,11 @@
     held.asked_at = now;
     const auto from = held.ask.value.empty() ? *entry->second.previous : held.ask;
     out.send(hooks_.leader_of(from),
-             release_request{.from = from, .to = server_, .shard = shard, .fence = held.fence});
+             release_request{.from = from,
+                             .to = server_,
+                             .shard = shard,
+                             .fence = held.fence,
+                             .not_taken_by = held.not_taken_by});
 }
 
 bool server_agent::in_flight_ended(instant now, const held_shard& held) const
@@ -250,30 +285,26 @@
         return;
     }
     next_renewal_ = now + options_.renew_every;
-    std::vector<server_command::item> items;
+    // Answers that did not come within the lease are lost.
+    std::erase_if(commands_, [&](const auto& it) {
+        return now - it.second.sent > options_.grant_lease + options_.server_patience;
+    });
+    server_command order{.kind = command_kind::grant};
+    const bool may_grant = !lost_since_ && options_.checks_fences && server_clock_ > 0;
     for (const auto& [shard, held] : held_) {
         const bool granted = held.phase == shard_phase::serving ||
                              held.phase == shard_phase::granting ||
                              held.phase == shard_phase::draining;
         // A drain that was inherited is not ours to renew: its fence is unknown here.
-        if (granted && held.fence.offset > 0 && !lost_since_ && options_.checks_fences) {
-            items.push_back({.shard = shard, .fence = held.fence});
+        if (may_grant && granted && held.fence.offset > 0) {
+            order.items.push_back({.shard = shard, .fence = held.fence});
         }
     }
-    grant_items(now, std::move(items), out);
-}
-
-void server_agent::grant_items(instant now, std::vector<server_command::item> items,
-                               effects& out)
-{
-    // Answers that did not come within the lease are lost.
-    std::erase_if(commands_, [&](const auto& it) {
-        return now - it.second.sent > options_.grant_lease + options_.server_patience;
-    });
-    if (!items.empty()) {
-        last_grant_sent_ = now;
-    }
-    command(now, {.kind = command_kind::grant, .items = std::move(items)}, out);
+    // The server read its clock before the answer came, so its clock is at least this far on.
+    const auto since = static_cast<std::uint64_t>((now - server_clock_at_).count());
+    const auto lease = static_cast<std::uint64_t>(options_.grant_lease.count());
+    order.until = server_clock_ + since + lease;
+    command(now, std::move(order), out);
 }
 
 void server_agent::start_serving(instant now, const shard_id& shard, held_shard& held,
@@ -293,9 +324,10 @@
     (void)shard;
 }
 
-void server_agent::on_command_result(instant now, std::uint64_t number, command_result result,
-                                     effects& out)
+void server_agent::on_command_result(instant now, std::uint64_t number,
+                                     const command_reply& reply, effects& out)
 {
+    const auto result = reply.result;
     const auto found = commands_.find(number);
     if (found == commands_.end() || !leading_) {
         return;
@@ -306,7 +338,15 @@
         on_server_silence(now, result == command_result::process_gone, out);
         return;
     }
-    on_server_answer(now, out);
+    const bool first_clock = server_clock_ == 0 && reply.server_clock > 0;
+    if (reply.server_clock > 0) {
+        server_clock_ = reply.server_clock;
+        server_clock_at_ = now;
+    }
+    if (first_clock) {
+        next_renewal_ = now;
+    }
+    on_server_answer(out);
     for (const auto& item : sent.items) {
         const auto held = held_.find(item.shard);
         if (held == held_.end() || held->second.fence != item.fence || !acting_) {
@@ -324,7 +364,7 @@
     pump(now, out);
 }
 
-void server_agent::on_server_answer(instant now, effects& out)
+void server_agent::on_server_answer(effects& out)
 {
     silent_since_.reset();
     process_gone_ = false;
@@ -452,11 +492,31 @@
         alone_sent_ = now;
         auto release = make_release(now, fact.given_to, shard, fact.fence);
         release.alone = true;
+        release.term = pair_.view().term;
         out.send(hooks_.leader_of(fact.given_to), std::move(release));
     }
 }
 
-// Moves made alone are told to the log when it is back.
+bool server_agent::held_alone(const shard_id& shard, const shard_entry& entry) const
+{
+    const auto fact = facts_.find(shard);
+    return fact != facts_.end() && fact->second.given_to.value.empty() &&
+           entry.owner != server_ && fact->second.fence.offset == entry.fence.offset &&
+           fact->second.fence.round > entry.fence.round;
+}
+
+// The time in which the old owner's pair cannot have been claimed by a third party is over.
+void server_agent::end_alone(instant now)
+{
+    for (auto& [shard, held] : held_) {
+        if (held.alone_until && now >= *held.alone_until &&
+            (held.phase == shard_phase::serving || held.phase == shard_phase::granting)) {
+            held.phase = shard_phase::awaiting_proof;
+        }
+    }
+}
+
+// Moves made alone are told to the log when it is back, by whichever side still knows of them.
 void server_agent::record_given(instant now, const log_state& log, effects& out)
 {
     if (!log_reachable_ || (moves_proposed_ && now - *moves_proposed_ < propose_again_every)) {
@@ -465,15 +525,19 @@
     shard_moves record{.from = server_};
     for (const auto& [shard, fact] : facts_) {
         const auto entry = log.shards().find(shard);
-        if (fact.given_to.value.empty() || entry == log.shards().end() ||
-            entry->second.owner != server_ || record.moves.size() >= moves_in_a_record) {
+        if (entry == log.shards().end() || record.moves.size() >= moves_in_a_record) {
+            continue;
+        }
+        const bool given = !fact.given_to.value.empty() && entry->second.owner == server_;
+        if (!given && !held_alone(shard, entry->second)) {
             continue;
         }
+        const auto& to = given ? fact.given_to : server_;
         record.round = fact.fence.round;
         record.moves.push_back({.shard = shard,
                                 .expected = entry->second.fence,
-                                .to = fact.given_to,
-                                .standby = choose_standby(log, shard, fact.given_to)});
+                                .to = to,
+                                .standby = choose_standby(log, shard, to)});
     }
     if (!record.moves.empty()) {
         moves_proposed_ = now;
@@ -508,6 +572,10 @@
     }
     const auto fact = facts_.find(it.shard);
     const bool given = fact != facts_.end() && !fact->second.given_to.value.empty();
+    if (given && fact->second.given_to == it.not_taken_by) {
+        take_back(now, it.shard);
+        return;
+    }
     if (given && fact->second.given_to != it.to) {
         auto reply = make_release(now, it.to, it.shard, it.fence);
         reply.items.clear();
@@ -518,6 +586,42 @@
     const auto held = held_.find(it.shard);
     if (given || (held != held_.end() && held->second.phase == shard_phase::released)) {
         out.send(from, make_release(now, it.to, it.shard, it.fence));
+    } else if (held == held_.end() && entry->second.previous != server_) {
+        deny_taken(now, from, it, out);
+    }
+}
+
+// The shard was given to this server without the log, but never arrived. That it never will is
+// noted on both hosts before it is said.
+void server_agent::deny_taken(instant now, const host_id& from, const release_request& it,
+                              effects& out)
+{
+    auto reply = make_release(now, it.to, it.shard, it.fence);
+    if (blind_) {
+        // It may have been taken and served by the pair before, whose ledger is lost.
+        reply.blind_left = static_cast<std::uint64_t>(options_.ledger.window.count());
+        out.send(from, std::move(reply));
+        return;
+    }
+    auto& fact = facts_[it.shard];
+    if (fact.fence < it.fence) {
+        fact = {.fence = it.fence};
+        proof_updates_[it.shard] = update_number_ + 1;
+        queue_fact(now, it.shard);
+    }
+    if (copied(proof_updates_[it.shard])) {
+        reply.not_taken = true;
+        out.send(from, std::move(reply));
+    }
+}
+
+void server_agent::take_back(instant now, const shard_id& shard)
+{
+    facts_[shard].given_to = {};
+    proof_updates_[shard] = update_number_ + 1;
+    queue_fact(now, shard);
+    if (!held_.contains(shard)) {
+        hold(now, shard, shard_phase::draining, {});
     }
 }
 
@@ -536,6 +640,12 @@
         held->second.fence != it.fence) {
         return;
     }
+    if (it.not_taken) {
+        held->second.ask = {};
+        held->second.not_taken_by = it.from;
+        held->second.asked_at.reset();
+        return;
+    }
     if (!it.ask_instead.value.empty()) {
         held->second.ask = it.ask_instead;
         held->second.asked_at.reset();
@@ -575,10 +685,24 @@
         entry->second.fence.round >= it.fence.round) {
         return;
     }
+    const auto fact = facts_.find(it.shard);
+    if (fact != facts_.end() && fact->second.fence > it.fence) {
+        return;
+    }
+    // Nobody else claims the old owner's pair and acts until our own last read of the log, which
+    // shows no such claim, is older than the hold.
+    const auto pair = log.pairs().find(it.from);
+    const duration margin =
+        options_.checks_fences ? options_.grant_lease : options_.max_request_time;
+    const auto until = fresh_as_of_ + options_.pair.isolation_hold - margin;
+    if (pair == log.pairs().end() || pair->second.term > it.term || now >= until) {
+        return;
+    }
     const auto held = held_.find(it.shard);
     const bool known = held != held_.end() && held->second.fence >= it.fence;
     if (!known) {
         take_proof(now, it, out);
+        held_[it.shard].alone_until = until;
     } else if (copied(proof_updates_[it.shard])) {
         out.send(from, release_taken{.from = it.from, .shard = it.shard, .fence = it.fence});
     }
@@ -589,6 +713,17 @@
     given_taken_[it.shard] = it.fence;
 }
 
+// Also when the shard was given on alone since: the log would void the record of that otherwise.
+bool server_agent::proof_in_hand(const shard_id& shard, const shard_entry& entry) const
+{
+    const auto held = held_.find(shard);
+    const auto fact = facts_.find(shard);
+    const auto update = proof_updates_.find(shard);
+    const bool taken = held != held_.end() && held->second.phase != shard_phase::awaiting_proof;
+    const bool known = fact != facts_.end() && fact->second.fence >= entry.fence;
+    return (taken || known) && (update == proof_updates_.end() || copied(update->second));
+}
+
 // Tells the log that the proofs are in hand on both hosts, so that the next owner need not ask
 // the one before the last.
 void server_agent::settle(instant now, const log_state& log, effects& out)
@@ -597,14 +732,10 @@
         return;
     }
     moves_settled record;
-    for (const auto& [shard, held] : held_) {
-        const auto entry = log.shards().find(shard);
-        const bool here = held.phase == shard_phase::serving || held.phase == shard_phase::granting;
-        if (!here || entry == log.shards().end() || entry->second.owner != server_ ||
-            !entry->second.previous || !copied(proof_updates_[shard])) {
-            continue;
+    for (const auto& [shard, entry] : log.shards()) {
+        if (entry.owner == server_ && entry.previous && proof_in_hand(shard, entry)) {
+            record.items.push_back({.shard = shard, .fence = entry.fence});
         }
-        record.items.push_back({.shard = shard, .fence = entry->second.fence});
     }
     if (!record.items.empty()) {
         settled_proposed_ = now;
--- a/src/libs/ownership/pair_member.cpp
+++ b/src/libs/ownership/pair_member.cpp
@@ -205,6 +205,10 @@
     if (now < not_before_ || hold_runs(now) || now >= fresh_as_of + options_.isolation_hold) {
         return false;
     }
+    // What others recorded until the end of the hold has to be known first.
+    if (hold_until_ && fresh_as_of < *hold_until_) {
+        return false;
+    }
     if (view_.solo()) {
         return now >= quiet_until_;
     }
--- a/src/plugins/backends/backend_pool.cpp
+++ b/src/plugins/backends/backend_pool.cpp
@@ -5,10 +5,30 @@
 #include "quincewing/net/http_call.hpp"
 
 #include <algorithm>
+#include <cstdlib>
 #include <sstream>
 
 namespace quincewing {
 
+namespace {
+
+command_reply to_reply(const http_answer& answer)
+{
+    if (answer.status == 0) {
+        return {.result = answer.refused ? command_result::process_gone
+                                         : command_result::no_answer};
+    }
+    command_reply out{.result = answer.status == 409 ? command_result::fenced
+                                                     : command_result::done};
+    const auto clock = answer.headers.find("Quincewing-Clock");
+    if (clock != answer.headers.end()) {
+        out.server_clock = std::strtoull(clock->second.c_str(), nullptr, 10);
+    }
+    return out;
+}
+
+} // namespace
+
 backend_pool::backend_pool(event_loop& loop, server_id server, std::string address,
                            backend_options options, done_hook done)
     : loop_(loop), server_(std::move(server)), address_(std::move(address)), options_(options),
@@ -188,10 +208,10 @@
               });
 }
 
-void backend_pool::command(const server_command& it, std::function<void(command_result)> done)
+void backend_pool::command(const server_command& it, std::function<void(const command_reply&)> done)
 {
     std::ostringstream body;
-    body << "lease_ms " << std::chrono::duration_cast<millis>(it.lease).count() << "\n";
+    body << "lease_us " << it.lease.count() << " until " << it.until << "\n";
     for (const auto& item : it.items) {
         body << item.shard.service.value << " " << item.shard.number << " " << item.fence.offset
              << " " << item.fence.round << "\n";
@@ -209,12 +229,7 @@
                   if (!*alive) {
                       return;
                   }
-                  if (answer.status == 0) {
-                      done(answer.refused ? command_result::process_gone
-                                          : command_result::no_answer);
-                  } else {
-                      done(answer.status == 409 ? command_result::fenced : command_result::done);
-                  }
+                  done(to_reply(answer));
               });
 }
 
--- a/src/plugins/host/host_task.cpp
+++ b/src/plugins/host/host_task.cpp
@@ -158,8 +158,8 @@
         if (pool == nullptr) {
             continue;
         }
-        pool->command(it, [this, server = it.server, number = it.number](command_result result) {
-            core_.on_command_result(monotonic_now(), server, number, result, effects_);
+        pool->command(it, [this, server = it.server, number = it.number](const command_reply& reply) {
+            core_.on_command_result(monotonic_now(), server, number, reply, effects_);
             work_timer_.soon();
         });
     }
--- /dev/null
+++ b/tests/auto/control/fleet_run.cpp
@@ -0,0 +1,1034 @@
+#include "fleet_run.hpp"
+
+#include "quincewing/control/host_core.hpp"
+
+#include <algorithm>
+#include <boost/random/mersenne_twister.hpp>
+#include <boost/random/uniform_int_distribution.hpp>
+#include <functional>
+#include <iostream>
+#include <map>
+#include <memory>
+#include <optional>
+#include <queue>
+#include <set>
+#include <vector>
+
+namespace quincewing::testing {
+
+namespace {
+
+using std::chrono::microseconds;
+
+constexpr int host_count = 4;
+constexpr int server_count = 3;
+constexpr std::uint32_t shard_count = 4;
+constexpr long long second = 1'000'000;
+constexpr long long longest_transit = 100'000;
+constexpr long long longest_work = 150'000;
+constexpr long long longest_deadline = 2 * second;
+
+struct sim_host
+{
+    std::unique_ptr<host_core> core;
+    host_id id;
+    effects out;
+    double rate{1};
+    long long offset{};
+    bool alive{true};
+    long long paused_until{};
+    std::vector<std::function<void()>> held;
+    std::uint64_t last_applied{};
+};
+
+struct sim_run
+{
+    std::uint64_t attempt{};
+    shard_id shard;
+    long long start{};
+    long long end{};
+    int host{};
+    host_id host_instance;
+    request_id id;
+};
+
+struct sim_server
+{
+    server_id id;
+    bool alive{true};
+    int instance{};
+    long long paused_until{};
+    double rate{1};
+    long long offset{};
+    struct grant
+    {
+        fence highest;
+        fence granted;
+        long long until{};
+    };
+    std::map<shard_id, grant> grants;
+    std::vector<sim_run> running;
+    /// Attempts that arrived and were not answered, and their hosts.
+    std::map<std::uint64_t, int> connected;
+    std::vector<std::function<void()>> held;
+};
+
+/// One attempt of a caller at one host.
+struct attempt
+{
+    std::string key;
+    shard_id shard;
+    int host{};
+    host_id host_instance;
+    server_id server;
+    long long deadline{};
+    bool started{};
+    bool answered{};
+    bool told_not_run{};
+};
+
+class fleet_run
+{
+public:
+    explicit fleet_run(const fleet_run_options& options) : options_(options), random_(options.seed)
+    {
+        for (int i = 0; i < server_count; ++i) {
+            servers_[i].id = server_id{"s" + std::to_string(i)};
+            servers_[i].rate = 1 + static_cast<double>(pick(-80, 80)) / 10'000;
+            servers_[i].offset = pick(10 * second, 1000 * second);
+        }
+        for (int i = 0; i < host_count; ++i) {
+            start_host(i);
+        }
+        all_log_.resize(1);
+    }
+
+    fleet_run_result run()
+    {
+        at(3 * second, [this] { trouble(); });
+        at(2 * second, [this] { caller(); });
+        const auto heal_at = 3 * second + options_.trouble_time;
+        at(heal_at, [this] { heal(); });
+        const auto end = heal_at + options_.trouble_time + 10 * second;
+        at(end - second, [this] { check_served(); });
+        while (!events_.empty() && now_ < end && result_.violation.empty()) {
+            auto it = events_.top();
+            events_.pop();
+            now_ = it.when;
+            it.act();
+            ++result_.events;
+        }
+        return result_;
+    }
+
+private:
+    struct event
+    {
+        long long when;
+        std::uint64_t order;
+        std::function<void()> act;
+        bool operator<(const event& it) const
+        {
+            return std::tie(when, order) > std::tie(it.when, it.order);
+        }
+    };
+
+    long long pick(long long least, long long most)
+    {
+        return boost::random::uniform_int_distribution<long long>{least, most}(random_);
+    }
+    bool chance(int percent) { return pick(1, 100) <= percent; }
+    void at(long long after, std::function<void()> act)
+    {
+        events_.push({now_ + after, ++order_, std::move(act)});
+    }
+    instant local(const sim_host& it) const
+    {
+        return instant{microseconds{it.offset + static_cast<long long>(it.rate * now_)}};
+    }
+    void fail(const std::string& what)
+    {
+        if (result_.violation.empty()) {
+            result_.violation = "at " + std::to_string(now_) + " us: " + what;
+        }
+    }
+    void tell(const std::string& what)
+    {
+        if (options_.tell) {
+            std::cout << now_ << " " << what << "\n";
+        }
+    }
+
+    host_options core_options(const host_id& id)
+    {
+        agent_options agent;
+        agent.pair.isolation_hold = seconds{8};
+        agent.checks_fences = options_.checks_fences;
+        agent.faults = options_.faults;
+        agent.max_request_time = seconds{3};
+        agent.ledger.window = seconds{60};
+        agent.queue.slots = 4;
+        host_options out{.self = id, .data_centre = data_centre_id{"a"}};
+        out.services[service_id{"v"}] = agent;
+        out.claim_patience = seconds{3};
+        out.snapshot_every = 40;
+        out.snapshot_chunk_bytes = 700;
+        out.first.services.push_back(
+            {.id = service_id{"v"}, .shards = shard_count, .keyed = true});
+        for (int i = 0; i < server_count; ++i) {
+            out.first.servers.push_back({.id = server_id{"s" + std::to_string(i)},
+                                         .service = service_id{"v"},
+                                         .data_centre = data_centre_id{"a"},
+                                         .address = "10.1.0." + std::to_string(i) + ":1"});
+        }
+        return out;
+    }
+
+    void start_host(int i)
+    {
+        auto& it = hosts_[i];
+        it = sim_host{};
+        it.id = make_host_id("10.0.0." + std::to_string(i) + ":1", ++instances_);
+        it.core = std::make_unique<host_core>(core_options(it.id));
+        it.rate = 1 + static_cast<double>(pick(-80, 80)) / 10'000;
+        it.offset = pick(10 * second, 1000 * second);
+        tell("start " + it.id.value);
+        at(pick(0, 50'000), [this, i, id = it.id] { tick(i, id); });
+        at(pick(0, 50'000), [this, i, id = it.id] { read_log(i, id); });
+        for (int j = 0; j < host_count; ++j) {
+            if (j != i) {
+                meet(i, j);
+                meet(j, i);
+            }
+        }
+    }
+
+    // A link stands: each side learns who is at the other end.
+    void meet(int from, int to)
+    {
+        at(pick(1000, 30'000), [this, from, to] {
+            if (!hosts_[from].alive || !hosts_[to].alive || !linked(from, to)) {
+                at(pick(100'000, 500'000), [this, from, to] {
+                    if (hosts_[from].alive && hosts_[to].alive) {
+                        meet(from, to);
+                    }
+                });
+                return;
+            }
+            const auto peer = hosts_[to].id;
+            on_host(from, [this, from, peer] {
+                auto& it = hosts_[from];
+                it.core->on_envelope(
+                    local(it), {.from = peer, .to = it.id, .body = heartbeat{data_centre_id{"a"}}},
+                    it.out);
+                drain(from);
+            });
+        });
+    }
+
+    void on_host(int i, std::function<void()> act)
+    {
+        auto& it = hosts_[i];
+        if (!it.alive) {
+            return;
+        }
+        if (now_ < it.paused_until) {
+            it.held.push_back(std::move(act));
+            return;
+        }
+        act();
+    }
+
+    int index_of(const host_id& id) const
+    {
+        for (int i = 0; i < host_count; ++i) {
+            if (hosts_[i].id == id && hosts_[i].alive) {
+                return i;
+            }
+        }
+        return -1;
+    }
+    int index_of(const server_id& id) const { return id.value.back() - '0'; }
+    bool linked(int a, int b) const { return !cuts_.contains({std::min(a, b), std::max(a, b)}); }
+    bool log_reachable(int i) const { return !log_down_ && !log_cut_.contains(i); }
+
+    void tick(int i, const host_id& id)
+    {
+        if (hosts_[i].id != id || !hosts_[i].alive) {
+            return;
+        }
+        at(pick(30'000, 60'000), [this, i, id] { tick(i, id); });
+        on_host(i, [this, i] {
+            auto& it = hosts_[i];
+            it.core->tick(local(it), it.out);
+            drain(i);
+        });
+        check_acting();
+    }
+
+    void read_log(int i, const host_id& id)
+    {
+        if (hosts_[i].id != id || !hosts_[i].alive) {
+            return;
+        }
+        at(pick(50'000, 120'000), [this, i, id] { read_log(i, id); });
+        if (!log_reachable(i)) {
+            return;
+        }
+        on_host(i, [this, i] {
+            auto& it = hosts_[i];
+            const auto started = local(it);
+            const auto from = it.core->state().applied();
+            std::vector<std::pair<log_offset, record>> records(
+                all_log_.begin() + static_cast<long>(std::min(from + 1, all_log_.size())),
+                all_log_.end());
+            at(pick(500, 20'000), [this, i, started, records, id = it.id] {
+                on_host(i, [this, i, started, records, id] {
+                    if (hosts_[i].id == id) {
+                        take_records(i, started, records);
+                    }
+                });
+            });
+        });
+    }
+
+    void take_records(int i, instant started,
+                      const std::vector<std::pair<log_offset, record>>& records)
+    {
+        auto& it = hosts_[i];
+        it.core->on_read(local(it), started, records, true, it.out);
+        drain(i);
+        check_versions(i);
+    }
+
+    // State never goes back, and is equal on all hosts at equal offsets.
+    void check_versions(int i)
+    {
+        auto& it = hosts_[i];
+        const auto applied = it.core->state().applied();
+        if (applied < it.last_applied) {
+            fail("state went back on " + it.id.value);
+        }
+        if (applied == it.last_applied) {
+            return;
+        }
+        it.last_applied = applied;
+        const auto bytes = it.core->state().serialise();
+        const auto known = state_at_.try_emplace(applied, bytes).first;
+        if (known->second != bytes) {
+            fail("two states at offset " + std::to_string(applied));
+        }
+        for (const auto& plan : accepted_plans_) {
+            const auto* fate = it.core->state().find_plan(plan.first);
+            if (applied >= plan.second && (fate == nullptr || !fate->accepted)) {
+                fail("an accepted plan is gone: " + plan.first.value);
+            }
+        }
+    }
+
+    void drain(int i)
+    {
+        auto& it = hosts_[i];
+        while (true) {
+            it.core->flush(local(it), it.out);
+            auto todo = std::move(it.out);
+            it.out = {};
+            const bool nothing = todo.sends.empty() && todo.appends.empty() &&
+                                 todo.commands.empty() && todo.dispatches.empty() &&
+                                 todo.answers.empty() && todo.changes.empty();
+            if (nothing) {
+                return;
+            }
+            carry_out(i, todo);
+        }
+    }
+
+    void carry_out(int i, effects& todo)
+    {
+        auto& it = hosts_[i];
+        for (const auto& change : todo.changes) {
+            tell(it.id.value + " " + change.what + " " + change.about + " " + change.detail);
+        }
+        for (const auto& send : todo.sends) {
+            deliver(i, send.to, send.body);
+        }
+        for (auto& body : todo.appends) {
+            append(i, std::move(body));
+        }
+        for (const auto& command : todo.commands) {
+            send_command(i, command);
+        }
+        for (const auto& dispatch : todo.dispatches) {
+            send_request(i, dispatch);
+        }
+        for (const auto& answer : todo.answers) {
+            take_answer(answer);
+        }
+        for (const auto& id : todo.aborts) {
+            finish_later(i, id.value, {.verdict = verdict::unknown});
+        }
+    }
+
+    void deliver(int from, const host_id& to, const message& body)
+    {
+        if (to == hosts_[from].id) {
+            auto& it = hosts_[from];
+            it.core->on_envelope(local(it), {.from = it.id, .to = to, .body = body}, it.out);
+            return;
+        }
+        const auto target = index_of(to);
+        if (target < 0 || !linked(from, target) || chance(loss_)) {
+            return;
+        }
+        const auto delay = chance(4) ? pick(1000, 900'000) : pick(200, 8'000);
+        if (const auto* it = std::get_if<release_request>(&body)) {
+            tell("ask " + it->from.value + " for " + to_string(it->shard) + " to " + it->to.value +
+                 " at " + to_string(it->fence) + " host " + to.value);
+        } else if (const auto* it = std::get_if<shard_release>(&body)) {
+            tell("release " + it->from.value + " of " + to_string(it->shard) + " to " +
+                 it->to.value + " at " + to_string(it->fence) + " instead " +
+                 it->ask_instead.value);
+        }
+        // Through the codec, as on the wire.
+        const auto bytes =
+            encode_envelope({.from = hosts_[from].id, .to = to, .body = body});
+        const auto act = [this, target, bytes] {
+            on_host(target, [this, target, bytes] {
+                auto& it = hosts_[target];
+                const auto envelope = decode_envelope(bytes);
+                if (!envelope) {
+                    fail("message not readable: " + envelope.error());
+                    return;
+                }
+                it.core->on_envelope(local(it), *envelope, it.out);
+                drain(target);
+            });
+        };
+        at(delay, act);
+        if (chance(3)) {
+            at(delay + pick(0, 200'000), act);
+        }
+    }
+
+    void append(int i, record_body body)
+    {
+        if (!log_reachable(i) || chance(8)) {
+            return;
+        }
+        const auto id = record_id{hosts_[i].id.value + "#" + std::to_string(++record_number_)};
+        record it{.id = id, .author = hosts_[i].id, .body = std::move(body)};
+        const auto delay = chance(8) ? pick(10'000, second) : pick(500, 10'000);
+        const auto take_effect = [this, it] {
+            auto copy = decode_record(encode_record(it));
+            all_log_.emplace_back(log_offset{all_log_.size()}, std::move(*copy));
+            const auto outcome = truth_.apply(all_log_.back().first, all_log_.back().second);
+            if (const auto* plan = std::get_if<plan_confirmed>(&it.body)) {
+                if (outcome.accepted) {
+                    accepted_plans_[plan->plan] = all_log_.size() - 1;
+                }
+            }
+        };
+        at(delay, take_effect);
+        // An answer that was lost: the same record again.
+        if (chance(10)) {
+            at(delay + pick(1000, 500'000), take_effect);
+        }
+    }
+
+    // Servers.
+
+    void on_server(int i, std::function<void()> act)
+    {
+        auto& it = servers_[i];
+        if (!it.alive) {
+            return;
+        }
+        if (now_ < it.paused_until) {
+            it.held.push_back(std::move(act));
+            return;
+        }
+        act();
+    }
+
+    void command_result_later(int host, const host_id& id, const server_command& command,
+                              const command_reply& result, long long delay)
+    {
+        at(delay, [this, host, id, server = command.server, number = command.number, result] {
+            on_host(host, [this, host, id, server, number, result] {
+                auto& it = hosts_[host];
+                if (it.id == id) {
+                    it.core->on_command_result(local(it), server, number, result, it.out);
+                    drain(host);
+                }
+            });
+        });
+    }
+
+    void send_command(int i, const server_command& command)
+    {
+        const auto s = index_of(command.server);
+        const auto id = hosts_[i].id;
+        const auto answered = std::make_shared<bool>(false);
+        at(pick(200, 5'000), [this, i, id, s, command, answered] {
+            if (!servers_[s].alive) {
+                *answered = true;
+                command_result_later(i, id, command, {.result = command_result::process_gone},
+                                     pick(100, 1000));
+                return;
+            }
+            on_server(s, [this, i, id, s, command, answered] {
+                const auto result = take_command(s, command);
+                if (!*answered && !chance(2)) {
+                    *answered = true;
+                    command_result_later(i, id, command, result, pick(200, 5'000));
+                }
+            });
+        });
+        at(500'000, [this, i, id, command, answered] {
+            if (!*answered) {
+                *answered = true;
+                command_result_later(i, id, command, {.result = command_result::no_answer}, 0);
+            }
+        });
+    }
+
+    std::uint64_t clock_of(const sim_server& it) const
+    {
+        return static_cast<std::uint64_t>(it.offset + static_cast<long long>(it.rate * now_));
+    }
+
+    command_reply take_command(int s, const server_command& command)
+    {
+        auto& server = servers_[s];
+        const auto clock = clock_of(server);
+        command_reply out{.result = command_result::done, .server_clock = clock};
+        const auto left = static_cast<long long>(command.until - clock);
+        for (const auto& item : command.items) {
+            auto& grant = server.grants[item.shard];
+            const bool late = command.kind == command_kind::grant &&
+                              (left <= 0 || left > command.lease.count() + 20'000);
+            if (item.fence < grant.highest || late) {
+                out.result = command_result::fenced;
+                continue;
+            }
+            grant.highest = item.fence;
+            if (command.kind == command_kind::revoke) {
+                grant.until = 0;
+                continue;
+            }
+            grant.granted = item.fence;
+            grant.until = now_ + static_cast<long long>(left / server.rate);
+            check_grant(s, item.shard);
+        }
+        return out;
+    }
+
+    void check_grant(int s, const shard_id& shard)
+    {
+        for (int other = 0; other < server_count; ++other) {
+            const auto found = servers_[other].grants.find(shard);
+            if (other != s && servers_[other].alive && found != servers_[other].grants.end() &&
+                found->second.until > now_) {
+                fail("shard " + to_string(shard) + " granted at " + servers_[s].id.value +
+                     " and " + servers_[other].id.value);
+            }
+        }
+    }
+
+    void send_request(int i, const dispatch& order)
+    {
+        const auto number = order.id.value;
+        const auto s = index_of(order.server);
+        const auto& it = attempts_.at(number);
+        const auto left = it.deadline - now_;
+        at(pick(100, longest_transit / (chance(10) ? 1 : 20)), [this, i, s, order, number, left] {
+            if (!servers_[s].alive) {
+                finish_later(i, number, {.verdict = verdict::not_run});
+                return;
+            }
+            const auto arrived = now_;
+            servers_[s].connected.insert({number, i});
+            on_server(s, [this, i, s, order, number, left, arrived] {
+                run_request(i, s, order, number, arrived + left);
+            });
+        });
+    }
+
+    void run_request(int i, int s, const dispatch& order, std::uint64_t number, long long deadline)
+    {
+        auto& server = servers_[s];
+        auto& it = attempts_.at(number);
+        if (now_ >= deadline) {
+            finish_later(i, number, {.verdict = verdict::not_run, .shed = true});
+            return;
+        }
+        if (options_.checks_fences) {
+            const auto& grant = server.grants[it.shard];
+            if (grant.until <= now_ || grant.granted != order.fence) {
+                finish_later(i, number, {.verdict = verdict::not_run, .shed = true});
+                return;
+            }
+        }
+        start_run(s, number, it);
+        const auto work = pick(1000, longest_work);
+        server.running.push_back({.attempt = number,
+                                  .shard = it.shard,
+                                  .start = now_,
+                                  .end = now_ + work,
+                                  .host = i,
+                                  .host_instance = it.host_instance,
+                                  .id = order.id});
+        at(work, [this, s, number, instance = server.instance] {
+            if (servers_[s].instance == instance) {
+                on_server(s, [this, s, number] { end_run(s, number); });
+            }
+        });
+    }
+
+    void start_run(int s, std::uint64_t number, attempt& it)
+    {
+        ++result_.runs;
+        it.started = true;
+        if (it.told_not_run) {
+            fail("attempt " + std::to_string(number) + " runs after it was told not_run");
+        }
+        if (!it.key.empty() && ++runs_of_key_[it.key] > 1) {
+            fail("key " + it.key + " runs twice, now at " + servers_[s].id.value);
+        }
+        for (int other = 0; other < server_count; ++other) {
+            for (const auto& run : servers_[other].running) {
+                if (other != s && run.shard == it.shard && !options_.checks_fences) {
+                    fail("shard " + to_string(it.shard) + " runs at " + servers_[s].id.value +
+                         " and " + servers_[other].id.value);
+                }
+            }
+        }
+    }
+
+    void end_run(int s, std::uint64_t number)
+    {
+        auto& running = servers_[s].running;
+        const auto found = std::find_if(running.begin(), running.end(),
+                                        [&](const auto& r) { return r.attempt == number; });
+        if (found == running.end()) {
+            return;
+        }
+        const auto run = *found;
+        running.erase(found);
+        request_result result{.verdict = verdict::ran};
+        result.response = {.status = 200, .body = attempts_.at(number).key};
+        // Now and then the answer is lost on its way.
+        if (chance(5)) {
+            result = {.verdict = verdict::unknown};
+        }
+        finish_later(run.host, number, result);
+    }
+
+    void finish_later(int i, std::uint64_t number, const request_result& result)
+    {
+        servers_[index_of(attempts_.at(number).server)].connected.erase(number);
+        const auto id = attempts_.at(number).host_instance;
+        at(pick(100, 5'000), [this, i, number, id, result] {
+            on_host(i, [this, i, number, id, result] {
+                auto& it = hosts_[i];
+                if (it.id != id) {
+                    return;
+                }
+                it.core->finished(local(it), request_id{number}, result, it.out);
+                if (!attempts_.at(number).answered) {
+                    take_answer({.id = request_id{number},
+                                 .verdict = result.verdict,
+                                 .response = result.response});
+                }
+                drain(i);
+            });
+        });
+    }
+
+    void kill_server(int s)
+    {
+        auto& it = servers_[s];
+        if (!it.alive) {
+            return;
+        }
+        tell("kill " + it.id.value);
+        it.alive = false;
+        ++it.instance;
+        it.grants.clear();
+        it.held.clear();
+        const auto connected = it.connected;
+        for (const auto& [number, host] : connected) {
+            finish_later(host, number, {.verdict = verdict::unknown, .server_crashed = true});
+        }
+        it.connected.clear();
+        it.running.clear();
+        at(pick(100'000, 6 * second), [this, s] { servers_[s].alive = true; });
+    }
+
+    void pause_server(int s)
+    {
+        auto& it = servers_[s];
+        if (!it.alive || now_ < it.paused_until) {
+            return;
+        }
+        const auto length = pick(200'000, 4 * second);
+        tell("freeze " + it.id.value + " for " + std::to_string(length));
+        it.paused_until = now_ + length;
+        at(length, [this, s, instance = it.instance] {
+            if (servers_[s].instance != instance) {
+                return;
+            }
+            auto held = std::move(servers_[s].held);
+            servers_[s].held.clear();
+            for (const auto& act : held) {
+                act();
+            }
+        });
+    }
+
+    // Callers: each has one request and repeats it, anywhere, until it knows.
+
+    void caller()
+    {
+        if (now_ < 3 * second + options_.trouble_time + 8 * second) {
+            at(pick(10'000, 60'000), [this] { caller(); });
+        }
+        const auto key = "k" + std::to_string(++key_number_);
+        const bool keyed = chance(80);
+        try_request(keyed ? key : "", static_cast<std::uint32_t>(pick(0, shard_count - 1)), 4);
+    }
+
+    void try_request(const std::string& key, std::uint32_t shard, int tries)
+    {
+        const auto i = static_cast<int>(pick(0, host_count - 1));
+        auto& entry = hosts_[i];
+        if (!entry.alive || now_ < entry.paused_until) {
+            return;
+        }
+        const auto route = entry.core->find_route({service_id{"v"}, shard});
+        if (!route) {
+            return;
+        }
+        const auto leader = index_of(route->leader);
+        if (leader < 0 || !linked(i, leader) || tries == 0) {
+            return;
+        }
+        const auto number = ++attempt_number_;
+        auto& it = attempts_[number];
+        it = {.key = key,
+              .shard = {service_id{"v"}, shard},
+              .host = leader,
+              .host_instance = hosts_[leader].id,
+              .server = route->server,
+              .deadline = now_ + pick(200'000, longest_deadline)};
+        ++result_.requests;
+        at(pick(200, 5'000), [this, leader, number] {
+            on_host(leader, [this, leader, number] { arrive(leader, number); });
+        });
+        at(it.deadline - now_, [this, number] { expire(number); });
+        // Callers come again, often before they have an answer.
+        if (!key.empty() && chance(60)) {
+            at(pick(20'000, 3 * second), [this, key, shard, tries] {
+                try_request(key, shard, tries - 1);
+            });
+        }
+    }
+
+    void arrive(int i, std::uint64_t number)
+    {
+        auto& it = hosts_[i];
+        const auto& request = attempts_.at(number);
+        if (it.id != request.host_instance || request.answered) {
+            return;
+        }
+        const auto left = request.deadline - now_;
+        it.core->begin(local(it), request.server,
+                       {.id = request_id{number},
+                        .shard = request.shard,
+                        .key = request.key,
+                        .fingerprint = 1,
+                        .idempotent = request.key.empty(),
+                        .klass = request.key.empty() ? request_class::read : request_class::write,
+                        .deadline = local(it) + microseconds{left}},
+                       it.out);
+        drain(i);
+    }
+
+    // What the host does at a deadline: the caller is told unknown if the request was handed over.
+    void expire(std::uint64_t number)
+    {
+        auto& it = attempts_.at(number);
+        if (!it.answered) {
+            it.answered = true;
+            ++result_.unknown;
+        }
+    }
+
+    void take_answer(const final_answer& answer)
+    {
+        auto& it = attempts_.at(answer.id.value);
+        if (it.answered) {
+            return;
+        }
+        it.answered = true;
+        switch (answer.verdict) {
+        case verdict::ran:
+            ++result_.ran;
+            if (!it.key.empty() && answer.response.body != it.key) {
+                fail("key " + it.key + " got the answer of " + answer.response.body);
+            }
+            break;
+        case verdict::not_run: {
+            ++result_.not_run;
+            it.told_not_run = !options_.faults.unknown_called_not_run || it.told_not_run;
+            if (it.started) {
+                fail("attempt " + std::to_string(answer.id.value) + " ran and was told not_run");
+            }
+            break;
+        }
+        case verdict::unknown:
+            ++result_.unknown;
+            break;
+        }
+    }
+
+    // Operators.
+
+    void operate()
+    {
+        const auto& shards = truth_.shards();
+        if (shards.empty()) {
+            return;
+        }
+        // Two operators at once, from the same version.
+        for (int n = 0; n < 2; ++n) {
+            const auto i = static_cast<int>(pick(0, host_count - 1));
+            if (!hosts_[i].alive || now_ < hosts_[i].paused_until) {
+                continue;
+            }
+            const auto& state = hosts_[i].core->state();
+            plan_confirmed plan{.plan = plan_id{"p" + std::to_string(++plan_number_)},
+                                .expected_version = state.config_version()};
+            for (const auto& [shard, entry] : state.shards()) {
+                if (!entry.previous && chance(40)) {
+                    const auto to = servers_[pick(0, server_count - 1)].id;
+                    const auto standby = servers_[pick(0, server_count - 1)].id;
+                    plan.moves.push_back({.shard = shard,
+                                          .expected = entry.fence,
+                                          .to = to,
+                                          .standby = standby});
+                }
+            }
+            result_.moves += plan.moves.size();
+            append(i, plan);
+        }
+    }
+
+    // Trouble.
+
+    void trouble()
+    {
+        if (healed_) {
+            return;
+        }
+        at(pick(100'000, 1'500'000), [this] { trouble(); });
+        const auto i = static_cast<int>(pick(0, host_count - 1));
+        const auto j = static_cast<int>(pick(0, host_count - 1));
+        const auto s = static_cast<int>(pick(0, server_count - 1));
+        switch (pick(0, 11)) {
+        case 0:
+            kill_host(i);
+            break;
+        case 1:
+        case 2:
+            pause_host(i);
+            break;
+        case 3:
+            if (i != j) {
+                tell("cut " + std::to_string(i) + " " + std::to_string(j));
+                cuts_.insert({std::min(i, j), std::max(i, j)});
+            }
+            break;
+        case 4:
+            tell("no cuts");
+            cuts_.clear();
+            log_cut_.clear();
+            break;
+        case 5:
+            log_down_ = !log_down_;
+            tell(log_down_ ? "log down" : "log up");
+            break;
+        case 6:
+            tell("log cut from " + std::to_string(i));
+            log_cut_.insert(i);
+            break;
+        case 7:
+            kill_server(s);
+            break;
+        case 8:
+            pause_server(s);
+            break;
+        case 9:
+        case 10:
+            operate();
+            break;
+        default:
+            loss_ = static_cast<int>(pick(0, 10));
+            break;
+        }
+    }
+
+    void kill_host(int i)
+    {
+        auto& it = hosts_[i];
+        if (!it.alive) {
+            return;
+        }
+        tell("kill " + it.id.value);
+        it.alive = false;
+        it.held.clear();
+        const auto gone = it.id;
+        for (int j = 0; j < host_count; ++j) {
+            if (j == i) {
+                continue;
+            }
+            const auto delay = chance(80) ? pick(500, 50'000) : pick(1000, 2 * second);
+            at(delay, [this, i, j, gone] {
+                if (!linked(i, j)) {
+                    return;
+                }
+                on_host(j, [this, j, gone] {
+                    auto& other = hosts_[j];
+                    other.core->on_process_gone(local(other), gone, other.out);
+                    drain(j);
+                });
+            });
+        }
+        at(pick(500'000, 4 * second), [this, i] { start_host(i); });
+    }
+
+    void pause_host(int i)
+    {
+        auto& it = hosts_[i];
+        if (!it.alive || now_ < it.paused_until) {
+            return;
+        }
+        const auto length = pick(100'000, 3 * second);
+        tell("freeze " + it.id.value + " for " + std::to_string(length));
+        it.paused_until = now_ + length;
+        at(length, [this, i, id = it.id] {
+            if (hosts_[i].id != id || !hosts_[i].alive) {
+                return;
+            }
+            auto held = std::move(hosts_[i].held);
+            hosts_[i].held.clear();
+            for (const auto& act : held) {
+                act();
+            }
+        });
+    }
+
+    void heal()
+    {
+        tell("heal");
+        healed_ = true;
+        cuts_.clear();
+        log_cut_.clear();
+        log_down_ = false;
+        loss_ = 0;
+    }
+
+    void check_acting()
+    {
+        for (int s = 0; s < server_count; ++s) {
+            int acting = 0;
+            for (const auto& it : hosts_) {
+                const auto& agents = it.core->agents();
+                const auto agent = agents.find(servers_[s].id);
+                acting += it.alive && now_ >= it.paused_until && agent != agents.end() &&
+                                  agent->second.may_act(local(it))
+                              ? 1
+                              : 0;
+            }
+            if (acting > 1) {
+                fail("two hosts act for " + servers_[s].id.value);
+            }
+        }
+    }
+
+    // After all trouble is over every shard is served again.
+    void check_served()
+    {
+        for (const auto& [shard, entry] : truth_.shards()) {
+            bool served = false;
+            std::string seen;
+            for (const auto& it : hosts_) {
+                const auto agent = it.core->agents().find(entry.owner);
+                if (!it.alive || agent == it.core->agents().end()) {
+                    continue;
+                }
+                const auto held = agent->second.shards().find(shard);
+                const bool here = held != agent->second.shards().end();
+                seen += std::string{" "} + it.id.value + "=" +
+                        (here ? to_string(held->second.phase) : "none") +
+                        (agent->second.may_act(local(it)) ? " acting" : " not acting");
+                served = served || (here && held->second.phase == shard_phase::serving &&
+                                    agent->second.may_act(local(it)));
+            }
+            if (!served && entry.previous) {
+                seen += ", moving from " + entry.previous->value + ":";
+                for (const auto& it : hosts_) {
+                    const auto agent = it.core->agents().find(*entry.previous);
+                    if (it.alive && agent != it.core->agents().end() &&
+                        agent->second.shards().contains(shard)) {
+                        const auto& held = agent->second.shards().at(shard);
+                        seen += " " + it.id.value + "=" + to_string(held.phase) + " in flight " +
+                                std::to_string(held.in_flight) + " fence " +
+                                to_string(held.fence);
+                    }
+                }
+            }
+            if (!served) {
+                fail("shard " + to_string(shard) + " of " + entry.owner.value +
+                     " is not served after all healed:" + seen);
+            }
+        }
+        if (truth_.shards().size() != shard_count) {
+            fail("the deployment was never founded");
+        }
+    }
+
+    fleet_run_options options_;
+    boost::random::mt19937_64 random_;
+    sim_host hosts_[host_count];
+    sim_server servers_[server_count];
+    std::priority_queue<event> events_;
+    std::vector<std::pair<log_offset, record>> all_log_;
+    log_state truth_;
+    std::map<std::uint64_t, std::string> state_at_;
+    std::map<plan_id, std::uint64_t> accepted_plans_;
+    std::map<std::uint64_t, attempt> attempts_;
+    std::map<std::string, int> runs_of_key_;
+    std::set<std::pair<int, int>> cuts_;
+    std::set<int> log_cut_;
+    bool log_down_{};
+    bool healed_{};
+    int loss_{1};
+    long long now_{};
+    std::uint64_t order_{};
+    std::uint64_t instances_{};
+    std::uint64_t record_number_{};
+    std::uint64_t attempt_number_{};
+    std::uint64_t key_number_{};
+    std::uint64_t plan_number_{};
+    fleet_run_result result_;
+};
+
+} // namespace
+
+fleet_run_result run_fleet_schedule(const fleet_run_options& options)
+{
+    return fleet_run{options}.run();
+}
+
+} // namespace quincewing::testing
--- a/tests/standins/server_standin.cpp
+++ b/tests/standins/server_standin.cpp
@@ -14,6 +14,8 @@
 namespace {
 
 constexpr millis wake_every{1};
+// Another clock may run a little faster than this one.
+constexpr long long clock_slack_ns = 20'000'000;
 constexpr std::size_t piece = 64UL * 1024;
 constexpr const char* not_run = "Quincewing-Not-Run";
 
@@ -30,6 +32,10 @@
     void handle(evhttp_request* request)
     {
         const auto path = path_of(request);
+        if (path.starts_with("/quincewing/")) {
+            evhttp_add_header(evhttp_request_get_output_headers(request), "Quincewing-Clock",
+                              std::to_string(now_ns() / 1000).c_str());
+        }
         if (path == "/quincewing/health") {
             reply(request, 200, "ok\n");
         } else if (path == "/quincewing/load") {
@@ -92,47 +98,52 @@
     }
 
     template <class Each>
-    static long long each_order(const std::string& body, const Each& each)
+    static void each_order(const std::string& body, const Each& each)
     {
         std::istringstream in{body};
         std::string word;
-        long long lease_ms = 0;
-        in >> word >> lease_ms;
+        long long lease_us = 0;
+        long long until_us = 0;
+        in >> word >> lease_us >> word >> until_us;
         std::string service;
         unsigned shard = 0;
         fence_value fence;
         while (in >> service >> shard >> fence.first >> fence.second) {
-            each(service + "/" + std::to_string(shard), fence, lease_ms);
+            each(service + "/" + std::to_string(shard), fence, lease_us, until_us);
         }
-        return lease_ms;
     }
 
     void grant(evhttp_request* request)
     {
         bool fenced = false;
         const auto now = now_ns();
-        each_order(body_of(request), [&](const auto& shard, const auto& fence, long long lease_ms) {
+        const auto take = [&](const auto& shard, const auto& fence, long long lease_us,
+                              long long until_us) {
             auto& it = grants_[shard];
-            if (fence < it.highest) {
+            // An end that is over, or further off than the lease, was not meant for now.
+            const bool timely = until_us * 1000 > now &&
+                                until_us * 1000 <= now + lease_us * 1000 + clock_slack_ns;
+            if (fence < it.highest || !timely) {
                 fenced = true;
                 return;
             }
             it.highest = fence;
             it.granted = fence;
-            it.until_ns = now + lease_ms * 1'000'000;
+            it.until_ns = until_us * 1000;
             if (options_.journal) {
                 journal_ << R"({"kind":"grant","server":")" << options_.id << R"(","shard":")"
                          << shard << R"(","fence":")" << fence.first << "." << fence.second
                          << R"(","start_ns":)" << now << R"(,"end_ns":)" << it.until_ns << "}\n";
             }
-        });
+        };
+        each_order(body_of(request), take);
         reply(request, fenced ? 409 : 200, fenced ? "fenced\n" : "granted\n");
     }
 
     void revoke(evhttp_request* request)
     {
         const auto now = now_ns();
-        each_order(body_of(request), [&](const auto& shard, const auto& fence, long long) {
+        each_order(body_of(request), [&](const auto& shard, const auto& fence, long long, long long) {
             auto& it = grants_[shard];
             if (fence >= it.highest) {
                 it.highest = fence;
