Fleet run: stale holdings and blind starts

Change: holdings know that the log gave them away; blindness is a time for all shards of the leadership; the log tells since when a host leads without a break.

--- a/include/quincewing/control/server_agent.hpp
+++ b/include/quincewing/control/server_agent.hpp
@@ -110,7 +110,7 @@
 
     // Pair and copies.
     void watch_pair(instant now, effects& out);
-    void become_leader(effects& out);
+    void become_leader(instant now, effects& out);
     void stop_leading(instant now, effects& out);
     void watch_acting(instant now, effects& out);
     void queue_update(const ledger_item& item);
@@ -123,8 +123,9 @@
     // Shards and grants.
     void reconcile(instant now, const log_state& log, effects& out);
     void take_owned(instant now, const shard_id& shard, const shard_entry& entry);
+    void mark_blind(instant now, const shard_id& shard);
     void hold(instant now, const shard_id& shard, shard_phase phase, fence at);
-    static void take_recorded(instant now, held_shard& held, const shard_entry& entry);
+    void take_recorded(instant now, held_shard& held, const shard_entry& entry) const;
     void lose_owned(instant now, held_shard& held, effects& out);
     void refuse_waiting(instant now, held_shard& held, effects& out);
     void advance_shards(instant now, const log_state& log, effects& out);
@@ -205,11 +206,16 @@
     bool leading_{};
     bool acting_{};
     bool stood_by_{};
-    /// Started without the ledger of the pair before.
-    bool blind_{};
+    /// Started without the ledger of the pair before; keys it does not know are told `unknown`
+    /// until then.
+    std::optional<instant> blind_until_;
+    /// The log says that this host starts its leadership so.
+    bool claimed_blind_{};
     /// Took over from a leader whose requests may still be in flight until then.
     std::optional<instant> inherited_until_;
     std::uint64_t log_term_{};
+    /// Term of the log with which this leadership began.
+    std::uint64_t leading_since_{};
     pair_view leading_view_;
     instant acting_since_{};
     std::uint64_t reconciled_version_{};
--- a/include/quincewing/control/shard_table.hpp
+++ b/include/quincewing/control/shard_table.hpp
@@ -33,6 +33,8 @@
 {
     shard_phase phase{shard_phase::awaiting_proof};
     quincewing::fence fence;
+    /// The log has given the shard to another server.
+    bool leaving{};
     std::size_t in_flight{};
     /// Requests that wait for the shard to be served.
     std::vector<request_id> waiting;
--- a/include/quincewing/state/entries.hpp
+++ b/include/quincewing/state/entries.hpp
@@ -57,6 +57,10 @@
     host_id author;
     /// The leader starts without the ledger of the pair before.
     bool blind{};
+    /// Term since which the leader has been the same host.
+    std::uint64_t led_since{};
+    /// Term just before that.
+    std::uint64_t led_from{};
 
     template <class F>
     void each_field(F&& f)
@@ -67,6 +71,8 @@
         f(hold);
         f(author);
         f(blind);
+        f(led_since);
+        f(led_from);
     }
     [[nodiscard]] bool has(const host_id& host) const { return host == leader || host == standby; }
 };
--- a/src/libs/control/server_agent_pair.cpp
+++ b/src/libs/control/server_agent_pair.cpp
@@ -37,9 +37,15 @@
     if (entry.term > log_term_) {
         log_term_ = entry.term;
         // A claim by a third party starts without the ledger.
-        blind_ = blind_ || (entry.leader == self_ && entry.blind && !leading_);
+        claimed_blind_ = entry.leader == self_ && entry.blind && !leading_;
     }
     pair_.on_log(now, entry);
+    // Another host led in between: what is held here is out of date.
+    if (leading_ && pair_.view().term == entry.term && entry.led_since > leading_since_ &&
+        entry.led_from != leading_since_) {
+        stop_leading(now, out);
+        claimed_blind_ = true;
+    }
     watch_pair(now, out);
     if (leading_ && reconciled_version_ != log.shards_version()) {
         reconcile(now, log, out);
@@ -58,7 +64,7 @@
         return;
     }
     if (!leading_) {
-        become_leader(out);
+        become_leader(now, out);
     }
     if (leading_view_ != pair_.view()) {
         leading_view_ = pair_.view();
@@ -69,12 +75,12 @@
     watch_acting(now, out);
 }
 
-void server_agent::become_leader(effects& out)
+void server_agent::become_leader(instant now, effects& out)
 {
     leading_ = true;
     acting_ = false;
+    leading_since_ = pair_.view().term;
     const bool incomplete = stood_by_ && applied_number_ == 0;
-    blind_ = blind_ || incomplete;
     update_number_ = std::max(update_number_, applied_number_) + 1;
     outgoing_ = {};
     reconciled_version_ = 0;
@@ -83,7 +89,8 @@
     process_gone_ = false;
     server_clock_ = 0;
     queue_.cool_down();
-    if (blind_) {
+    if (claimed_blind_ || incomplete) {
+        blind_until_ = now + options_.ledger.window;
         out.note("ledger_lost", server_.value);
     }
 }
@@ -101,7 +108,7 @@
     }
     acting_since_ = now;
     next_renewal_ = now;
-    if (stood_by_ || blind_) {
+    if (stood_by_ || blind_until_) {
         inherited_until_ = now + options_.max_request_time;
     }
 }
@@ -113,7 +120,8 @@
     acting_since_ = {};
     inherited_until_.reset();
     stood_by_ = false;
-    blind_ = false;
+    blind_until_.reset();
+    claimed_blind_ = false;
     applied_number_ = 0;
     std::vector<request_id> waiting;
     for (auto& [id, it] : requests_) {
--- a/src/libs/control/server_agent_shards.cpp
+++ b/src/libs/control/server_agent_shards.cpp
@@ -60,17 +60,32 @@
             // How long it may be served alone is not known here: the record has to be read first.
             hold(now, shard, shard_phase::awaiting_proof, fact->second.fence);
         } else if (entry.previous == server_) {
+            mark_blind(now, shard);
             hold(now, shard, shard_phase::draining, {});
+            held_[shard].leaving = true;
         }
     }
 }
 
+void server_agent::mark_blind(instant now, const shard_id& shard)
+{
+    if (!blind_until_ || now >= *blind_until_) {
+        return;
+    }
+    auto& fact = facts_[shard];
+    if (!fact.blind_until || *fact.blind_until < *blind_until_) {
+        fact.blind_until = blind_until_;
+        queue_fact(now, shard);
+    }
+}
+
 void server_agent::hold(instant now, const shard_id& shard, shard_phase phase, fence at)
 {
     auto& held = held_[shard];
     held.phase = phase;
     held.fence = at;
     held.since = now;
+    held.leaving = false;
     held.asked_at.reset();
     held.alone_until.reset();
     held.ask = {};
@@ -87,13 +102,9 @@
     if (given_away) {
         facts_.erase(fact);
     }
-    if (blind_ && !facts_.contains(shard)) {
-        facts_[shard] = {.blind_until = now + options_.ledger.window};
-        queue_fact(now, shard);
-    }
+    mark_blind(now, shard);
     const auto held = held_.find(shard);
-    const bool current = held != held_.end() && held->second.phase != shard_phase::released;
-    if (current) {
+    if (held != held_.end() && !held->second.leaving) {
         take_recorded(now, held->second, entry);
         return;
     }
@@ -108,13 +119,16 @@
 
 // A move made alone goes on under the log's fence if it was recorded in time. Otherwise the old
 // owner may have a new leader that serves the shard, which has to be asked.
-void server_agent::take_recorded(instant now, held_shard& held, const shard_entry& entry)
+void server_agent::take_recorded(instant now, held_shard& held,
+                                 const shard_entry& entry) const
 {
     if (entry.fence <= held.fence) {
         return;
     }
     held.fence = entry.fence;
-    const bool late = held.alone_until && now >= *held.alone_until;
+    // A shard that was taken alone has its proof; another that comes from elsewhere has not.
+    const bool late = held.alone_until ? now >= *held.alone_until
+                                       : entry.previous && *entry.previous != server_;
     held.alone_until.reset();
     held.ask = {};
     held.not_taken_by = {};
@@ -129,6 +143,7 @@
 void server_agent::lose_owned(instant now, held_shard& held, effects& out)
 {
     refuse_waiting(now, held, out);
+    held.leaving = true;
     if (held.phase == shard_phase::serving || held.phase == shard_phase::granting) {
         held.phase = shard_phase::draining;
         held.since = now;
@@ -597,7 +612,7 @@
                               effects& out)
 {
     auto reply = make_release(now, it.to, it.shard, it.fence);
-    if (blind_) {
+    if (blind_until_ && now < *blind_until_) {
         // It may have been taken and served by the pair before, whose ledger is lost.
         reply.blind_left = static_cast<std::uint64_t>(options_.ledger.window.count());
         out.send(from, std::move(reply));
@@ -622,6 +637,7 @@
     queue_fact(now, shard);
     if (!held_.contains(shard)) {
         hold(now, shard, shard_phase::draining, {});
+        held_[shard].leaving = true;
     }
 }
 
--- a/src/libs/state/log_state.cpp
+++ b/src/libs/state/log_state.cpp
@@ -98,12 +98,16 @@
     if (found->second.term != body.expected_term) {
         return refused("the pair changed at " + std::to_string(found->second.term));
     }
+    const auto old = found->second;
+    const bool same_leader = old.leader == body.leader;
     found->second = {.leader = body.leader,
                      .standby = body.standby,
                      .term = offset,
                      .hold = body.hold,
                      .author = it.author,
-                     .blind = body.blind};
+                     .blind = body.blind,
+                     .led_since = same_leader ? old.led_since : offset,
+                     .led_from = same_leader ? old.led_from : old.term};
     return accepted();
 }
 
--- a/tests/auto/control/fleet_run.cpp
+++ b/tests/auto/control/fleet_run.cpp
@@ -588,6 +588,8 @@
     void start_run(int s, std::uint64_t number, attempt& it)
     {
         ++result_.runs;
+        tell("run " + it.key + " of " + to_string(it.shard) + " at " + servers_[s].id.value +
+             " for " + it.host_instance.value + " attempt " + std::to_string(number));
         it.started = true;
         if (it.told_not_run) {
             fail("attempt " + std::to_string(number) + " runs after it was told not_run");
