--- a/include/quincewing/control/server_agent.hpp
+++ b/include/quincewing/control/server_agent.hpp
@@ -195,6 +195,8 @@
     std::uint64_t update_number_{};
     std::uint64_t acked_number_{};
     std::uint64_t applied_number_{};
+    /// As standby: newest number ever applied in the view; an older whole comes too late.
+    std::uint64_t newest_number_{};
     pair_view applied_view_;
     ledger_update outgoing_;
     std::optional<instant> whole_sent_;
--- a/src/libs/control/server_agent_pair.cpp
+++ b/src/libs/control/server_agent_pair.cpp
@@ -192,11 +192,16 @@
     if (!pair_.stands_by() || update.view != pair_.view()) {
         return;
     }
-    const bool same_view = applied_view_ == update.view && applied_number_ > 0;
-    if (same_view && update.number <= applied_number_) {
+    if (applied_view_ != update.view) {
+        applied_view_ = update.view;
+        applied_number_ = 0;
+        newest_number_ = 0;
+    }
+    // Late or repeated.
+    if (update.number < newest_number_ || update.number <= applied_number_) {
         return;
     }
-    if (!update.whole && !(same_view && update.number == applied_number_ + 1)) {
+    if (!update.whole && (applied_number_ == 0 || update.number != applied_number_ + 1)) {
         applied_number_ = 0;
         return;
     }
@@ -210,8 +215,8 @@
     for (const auto& fact : update.facts) {
         put_fact(now, fact);
     }
-    applied_view_ = update.view;
     applied_number_ = update.number;
+    newest_number_ = update.number;
 }
 
 void server_agent::queue_update(const ledger_item& item)
