A shard is given away on both hosts before anybody else serves it

Change: the gift is copied to the standby before the proof is sent; an acknowledgment that stays behind brings the whole ledger again.

--- a/include/quincewing/control/server_agent.hpp
+++ b/include/quincewing/control/server_agent.hpp
@@ -153,6 +153,7 @@
     [[nodiscard]] bool held_alone(const shard_id& shard, const shard_entry& entry) const;
     void record_given(instant now, const log_state& log, effects& out);
     void take_proof(instant now, const shard_release& it, effects& out);
+    void give(instant now, const host_id& to, const release_request& it, effects& out);
     void deny_taken(instant now, const host_id& from, const release_request& it, effects& out);
     void take_back(instant now, const shard_id& shard);
     void take_alone(instant now, const host_id& from, const shard_release& it,
@@ -200,6 +201,7 @@
     pair_view applied_view_;
     ledger_update outgoing_;
     std::optional<instant> whole_sent_;
+    instant flushed_at_{};
     std::map<shard_id, kept_fact> facts_;
     /// Ledger update that carried the proof of release to the standby.
     std::map<shard_id, std::uint64_t> proof_updates_;
--- a/src/libs/control/server_agent_pair.cpp
+++ b/src/libs/control/server_agent_pair.cpp
@@ -158,10 +158,13 @@
     if (!leading_ || ack.view != pair_.view()) {
         return;
     }
+    // The newest update was lost and none followed that would show the gap.
+    const bool behind = ack.ledger_number < update_number_ && now - flushed_at_ > whole_again_every;
+    const bool due = !whole_sent_ || now - *whole_sent_ >= whole_again_every;
+    if ((ack.ledger_number == 0 || behind) && due) {
+        send_whole(now, out);
+    }
     if (ack.ledger_number == 0) {
-        if (!whole_sent_ || now - *whole_sent_ >= whole_again_every) {
-            send_whole(now, out);
-        }
         return;
     }
     acked_number_ = std::max(acked_number_, ack.ledger_number);
@@ -235,6 +238,7 @@
         return;
     }
     ++update_number_;
+    flushed_at_ = now;
     auto update = std::move(outgoing_);
     outgoing_ = {};
     if (!leading_ || pair_.view().solo()) {
--- a/src/libs/control/server_agent_shards.cpp
+++ b/src/libs/control/server_agent_shards.cpp
@@ -20,7 +20,9 @@
     reconciled_version_ = log.shards_version();
     for (const auto& [shard, entry] : log.shards()) {
         const auto fact = facts_.find(shard);
-        const bool passed = fact != facts_.end() && entry.fence > fact->second.fence &&
+        const bool given_here = fact != facts_.end() && !fact->second.given_to.value.empty();
+        const bool older = fact != facts_.end() && entry.fence > fact->second.fence;
+        const bool passed = (older || (given_here && entry.fence == fact->second.fence)) &&
                             entry.owner != server_ && entry.previous != server_;
         if (passed && !held_.contains(shard)) {
             facts_.erase(fact);
@@ -501,7 +503,8 @@
     for (const auto& [shard, fact] : facts_) {
         const auto taken = given_taken_.find(shard);
         const bool done = taken != given_taken_.end() && taken->second == fact.fence;
-        if (fact.given_to.value.empty() || done || !copied(proof_updates_[shard])) {
+        const bool through_log = fact.fence.round == 0;
+        if (fact.given_to.value.empty() || through_log || done || !copied(proof_updates_[shard])) {
             continue;
         }
         alone_sent_ = now;
@@ -600,12 +603,28 @@
     }
     const auto held = held_.find(it.shard);
     if (given || (held != held_.end() && held->second.phase == shard_phase::released)) {
-        out.send(from, make_release(now, it.to, it.shard, it.fence));
+        give(now, from, it, out);
     } else if (held == held_.end() && entry->second.previous != server_) {
         deny_taken(now, from, it, out);
     }
 }
 
+// The standby may be behind in the log, so it has to know that the shard is given away before
+// anybody else may serve it.
+void server_agent::give(instant now, const host_id& to, const release_request& it, effects& out)
+{
+    auto& fact = facts_[it.shard];
+    if (fact.given_to.value.empty()) {
+        fact.given_to = it.to;
+        fact.fence = it.fence;
+        proof_updates_[it.shard] = update_number_ + 1;
+        queue_fact(now, it.shard);
+    }
+    if (copied(proof_updates_[it.shard])) {
+        out.send(to, make_release(now, it.to, it.shard, it.fence));
+    }
+}
+
 // The shard was given to this server without the log, but never arrived. That it never will is
 // noted on both hosts before it is said.
 void server_agent::deny_taken(instant now, const host_id& from, const release_request& it,
