--- a/src/libs/control/server_agent_shards.cpp
+++ b/src/libs/control/server_agent_shards.cpp
@@ -101,12 +101,15 @@
     if (given_away && fact->second.fence > entry.fence) {
         return;
     }
+    // Given to another server without the log, and the log keeps it here: ask that server first.
+    const auto alone_at = given_away && fact->second.fence.round > 0 ? fact->second.given_to
+                                                                     : server_id{};
     if (given_away) {
         facts_.erase(fact);
     }
     mark_blind(now, shard);
     const auto held = held_.find(shard);
-    if (held != held_.end() && !held->second.leaving) {
+    if (held != held_.end() && !held->second.leaving && alone_at.value.empty()) {
         take_recorded(now, held->second, entry);
         return;
     }
@@ -116,7 +119,9 @@
     const bool proven = !entry.previous || entry.previous == server_ ||
                         options_.faults.grant_without_proof ||
                         (facts_.contains(shard) && facts_[shard].fence >= entry.fence);
-    hold(now, shard, proven ? shard_phase::granting : shard_phase::awaiting_proof, entry.fence);
+    const bool ask = !proven || !alone_at.value.empty();
+    hold(now, shard, ask ? shard_phase::awaiting_proof : shard_phase::granting, entry.fence);
+    held_[shard].ask = alone_at;
 }
 
 // A move made alone goes on under the log's fence if it was recorded in time. Otherwise the old
@@ -221,7 +226,7 @@
         return;
     }
     // Settled meanwhile by the leader before us: the proof was in hand then.
-    if (!entry->second.previous) {
+    if (!entry->second.previous && held.ask.value.empty()) {
         held.phase = shard_phase::granting;
         return;
     }
