--- a/include/quincewing/admission/server_queue.hpp
+++ b/include/quincewing/admission/server_queue.hpp
@@ -63,8 +63,7 @@
     tl::expected<void, queue_refusal> offer(instant now, const queued_request& it);
     /// The next request to send, if the limit allows one. Call until empty. Requests that are
     /// not ready are passed over without losing their place.
-    std::optional<request_id> next(instant now,
-                                   const std::function<bool(request_id)>& ready = {});
+    std::optional<request_id> next(instant now, const std::function<bool(request_id)>& ready = {});
     /// Requests that can no longer be answered in time; they leave the queue.
     std::vector<request_id> take_hopeless(instant now);
     /// The request left the server (or the queue, when it was never sent).
--- a/include/quincewing/codec/codec.hpp
+++ b/include/quincewing/codec/codec.hpp
@@ -30,7 +30,10 @@
 };
 
 template <class T>
-concept fielded = requires(T& it, any_visitor v) { it.each_field(v); };
+concept fielded = requires(T& it, any_visitor v)
+{
+    it.each_field(v);
+};
 
 template <class T>
 struct is_vector : std::false_type
--- a/include/quincewing/control/server_agent.hpp
+++ b/include/quincewing/control/server_agent.hpp
@@ -51,12 +51,11 @@
     void on_update(instant now, const ledger_update& update);
     void on_release_request(instant now, const host_id& from, const release_request& it,
                             const log_state& log, effects& out);
-    void on_release(instant now, const host_id& from, const shard_release& it,
-                    const log_state& log, effects& out);
+    void on_release(instant now, const host_id& from, const shard_release& it, const log_state& log,
+                    effects& out);
     void on_release_taken(instant now, const release_taken& it, effects& out);
     void on_late_answer(instant now, const late_answer& it, effects& out);
-    void on_death(instant now, const host_id& host, const pair_surroundings& around,
-                  effects& out);
+    void on_death(instant now, const host_id& host, const pair_surroundings& around, effects& out);
     void on_command_result(instant now, std::uint64_t number, const command_reply& reply,
                            effects& out);
     void tick(instant now, const pair_surroundings& around, const log_state& log, effects& out);
@@ -129,8 +128,8 @@
     void lose_owned(instant now, held_shard& held, fence at, effects& out);
     void refuse_waiting(instant now, held_shard& held, effects& out);
     void advance_shards(instant now, const log_state& log, effects& out);
-    void ask_for_proof(instant now, const shard_id& shard, held_shard& held,
-                       const log_state& log, effects& out);
+    void ask_for_proof(instant now, const shard_id& shard, held_shard& held, const log_state& log,
+                       effects& out);
     void advance_granting(instant now, const shard_id& shard, held_shard& held, effects& out);
     void advance_drain(instant now, const shard_id& shard, held_shard& held, effects& out);
     void advance_revoke(instant now, held_shard& held);
@@ -156,8 +155,8 @@
     void give(instant now, const host_id& to, const release_request& it, effects& out);
     void deny_taken(instant now, const host_id& from, const release_request& it, effects& out);
     void take_back(instant now, const shard_id& shard, fence at);
-    void take_alone(instant now, const host_id& from, const shard_release& it,
-                    const log_state& log, effects& out);
+    void take_alone(instant now, const host_id& from, const shard_release& it, const log_state& log,
+                    effects& out);
     [[nodiscard]] shard_release make_release(instant now, const server_id& to,
                                              const shard_id& shard, fence at) const;
     [[nodiscard]] server_id choose_standby(const log_state& log, const shard_id& shard,
@@ -174,8 +173,7 @@
     void forget_request(request_id id);
     void answer_joiners(const std::vector<request_id>& joiners, const request_result& result,
                         effects& out);
-    void end_run(instant now, const active_request& it, const request_result& result,
-                 effects& out);
+    void end_run(instant now, const active_request& it, const request_result& result, effects& out);
     void refuse_late(instant now, effects& out);
     void note_crash(instant now, std::uint64_t fingerprint);
     [[nodiscard]] duration expected_serving(instant now) const;
--- a/include/quincewing/metrics/histogram.hpp
+++ b/include/quincewing/metrics/histogram.hpp
@@ -30,9 +30,9 @@
 
 private:
     using accumulator = boost::accumulators::accumulator_set<
-        double, boost::accumulators::stats<boost::accumulators::tag::count,
-                                           boost::accumulators::tag::sum,
-                                           boost::accumulators::tag::max>>;
+        double,
+        boost::accumulators::stats<boost::accumulators::tag::count, boost::accumulators::tag::sum,
+                                   boost::accumulators::tag::max>>;
     accumulator totals_;
     std::array<std::uint64_t, bucket_count> buckets_{};
 };
--- a/include/quincewing/peers/peers_options.hpp
+++ b/include/quincewing/peers/peers_options.hpp
@@ -11,8 +11,10 @@
 struct peers_options
 {
     host_id self;
-    /// "ip:port" to listen on.
+    /// "ip:port" at which the others reach this host.
     std::string address;
+    /// "ip:port" to listen on; connections to others leave from this ip.
+    std::string listen;
     data_centre_id data_centre;
     duration reconnect_least{millis{20}};
     duration reconnect_most{seconds{1}};
--- a/include/quincewing/placement/intent.hpp
+++ b/include/quincewing/placement/intent.hpp
@@ -43,7 +43,7 @@
     service_id service;
 };
 
-using intent = std::variant<add_intent, retire_intent, spread_intent, pin_intent, set_intent,
-                            level_intent>;
+using intent =
+    std::variant<add_intent, retire_intent, spread_intent, pin_intent, set_intent, level_intent>;
 
 } // namespace quincewing
--- a/include/quincewing/placement/planner.hpp
+++ b/include/quincewing/placement/planner.hpp
@@ -49,7 +49,6 @@
 
 /// A plan for the intent, or why there is none. The plan's id and operator are the caller's.
 tl::expected<plan, std::string> make_plan(const log_state& state, const intent& what,
-                                          const shard_loads& loads,
-                                          const planner_options& options);
+                                          const shard_loads& loads, const planner_options& options);
 
 } // namespace quincewing
--- a/include/quincewing/settings/host_settings.hpp
+++ b/include/quincewing/settings/host_settings.hpp
@@ -95,6 +95,8 @@
 {
     /// Where the other entry hosts reach this one.
     std::string address{"127.0.0.1:7100"};
+    /// Where this one listens for them; empty for the same address.
+    std::string listen;
     std::string callers{"127.0.0.1:8100"};
     std::string operators{"127.0.0.1:9100"};
     std::string data_centre;
--- a/include/quincewing/settings/settings_file.hpp
+++ b/include/quincewing/settings/settings_file.hpp
@@ -44,8 +44,7 @@
     /// "ip:port", IPv4.
     void get_address(const std::string& section, const std::string& key, std::string& to);
     /// Items separated by commas.
-    void get_list(const std::string& section, const std::string& key,
-                  std::vector<std::string>& to);
+    void get_list(const std::string& section, const std::string& key, std::vector<std::string>& to);
     void require(const std::string& section, const std::string& key);
 
     void add_error(const std::string& section, const std::string& key, std::string what,
--- a/include/quincewing/wire/messages.hpp
+++ b/include/quincewing/wire/messages.hpp
@@ -213,9 +213,9 @@
     }
 };
 
-using message = std::variant<pair_beat, pair_ack, ledger_update, release_request, shard_release,
-                             release_taken, leader_hint, heartbeat, state_request, state_reply,
-                             suspect_notice, late_answer>;
+using message =
+    std::variant<pair_beat, pair_ack, ledger_update, release_request, shard_release, release_taken,
+                 leader_hint, heartbeat, state_request, state_reply, suspect_notice, late_answer>;
 
 /// A message between two entry hosts; dropped unless it is for this very process.
 struct envelope
--- a/src/app/command_line.cpp
+++ b/src/app/command_line.cpp
@@ -29,12 +29,12 @@
         TCLAP::ValueArg<std::string> settings{
             "s", "settings", "Settings file", false, "quincewing.ini", "FILE", line};
         TCLAP::ValueArg<std::string> at{
-            "a", "at", "Operators' address of an entry host", false, "127.0.0.1:9100", "IP:PORT",
-            line};
+            "a",       "at", "Operators' address of an entry host", false, "127.0.0.1:9100",
+            "IP:PORT", line};
         TCLAP::ValueArg<std::string> name{
             "o", "operator", "Name of the operator, kept with a plan", false, "", "NAME", line};
-        TCLAP::UnlabeledValueArg<std::string> command{"command", "What to do", true, "", &allowed,
-                                                      line};
+        TCLAP::UnlabeledValueArg<std::string> command{"command", "What to do", true,
+                                                      "",        &allowed,     line};
         TCLAP::UnlabeledMultiArg<std::string> words{"words", "Words of the command", false, "WORD",
                                                     line};
         line.parse(argc, argv);
--- a/src/libs/admission/crash_guard.cpp
+++ b/src/libs/admission/crash_guard.cpp
@@ -71,8 +71,8 @@
         return it.second.suspect_until <= now && it.second.quarantined_until.value_or(now) <= now;
     });
     while (entries_.size() >= options_.max_entries) {
-        const auto oldest = std::min_element(
-            entries_.begin(), entries_.end(), [](const auto& a, const auto& b) {
+        const auto oldest =
+            std::min_element(entries_.begin(), entries_.end(), [](const auto& a, const auto& b) {
                 return a.second.suspect_until < b.second.suspect_until;
             });
         entries_.erase(oldest);
--- a/src/libs/admission/server_queue.cpp
+++ b/src/libs/admission/server_queue.cpp
@@ -97,15 +97,13 @@
 }
 
 // Brings the first ready request of the chosen class to the front of its queue.
-server_queue::class_state*
-server_queue::pick_class(const std::function<bool(request_id)>& ready)
+server_queue::class_state* server_queue::pick_class(const std::function<bool(request_id)>& ready)
 {
     class_state* best = nullptr;
     for (auto& klass : classes_) {
         auto& queue = klass.queue;
-        const auto first = std::find_if(queue.begin(), queue.end(), [&](const auto& it) {
-            return !ready || ready(it.id);
-        });
+        const auto first = std::find_if(queue.begin(), queue.end(),
+                                        [&](const auto& it) { return !ready || ready(it.id); });
         if (first == queue.end()) {
             continue;
         }
@@ -151,8 +149,8 @@
 {
     std::vector<request_id> out;
     for (auto& klass : classes_) {
-        const auto latest = now + (options_.refuse_by_deadline ? microseconds_of(klass.service)
-                                                               : duration{0});
+        const auto latest =
+            now + (options_.refuse_by_deadline ? microseconds_of(klass.service) : duration{0});
         const auto gone = [&](const queued_request& it) {
             if (latest <= it.deadline) {
                 return false;
--- a/src/libs/control/server_agent_requests.cpp
+++ b/src/libs/control/server_agent_requests.cpp
@@ -91,9 +91,8 @@
         std::tie(it.meta.id, it.meta.shard, it.meta.key, it.meta.fingerprint);
     switch (ledger_.look(shard, key, fingerprint)) {
     case ledger_reply::answered:
-        out.answers.push_back({.id = id,
-                               .verdict = verdict::ran,
-                               .response = *ledger_.response(shard, key)});
+        out.answers.push_back(
+            {.id = id, .verdict = verdict::ran, .response = *ledger_.response(shard, key)});
         forget_request(id);
         return true;
     case ledger_reply::mismatch:
@@ -129,11 +128,11 @@
 
 void server_agent::enqueue(instant now, active_request& it, effects& out)
 {
-    const queued_request queued{
-        .id = it.meta.id,
-        .klass = it.meta.klass,
-        .deadline = it.meta.deadline,
-        .alone = guard_.standing(now, it.meta.fingerprint) == crash_standing::suspect};
+    const queued_request queued{.id = it.meta.id,
+                                .klass = it.meta.klass,
+                                .deadline = it.meta.deadline,
+                                .alone = guard_.standing(now, it.meta.fingerprint) ==
+                                         crash_standing::suspect};
     if (const auto admitted = queue_.offer(now, queued); !admitted) {
         refuse(now, it.meta.id, refusal::overloaded, admitted.error().retry_after, out);
         return;
@@ -254,8 +253,7 @@
     }
 }
 
-void server_agent::finished(instant now, request_id id, const request_result& result,
-                            effects& out)
+void server_agent::finished(instant now, request_id id, const request_result& result, effects& out)
 {
     const auto found = requests_.find(id);
     if (found == requests_.end()) {
--- a/src/libs/control/server_agent_shards.cpp
+++ b/src/libs/control/server_agent_shards.cpp
@@ -103,8 +103,8 @@
         return;
     }
     // Given to another server without the log, and the log keeps it here: ask that server first.
-    const auto alone_at = given_away && fact->second.fence.round > 0 ? fact->second.given_to
-                                                                     : server_id{};
+    const auto alone_at =
+        given_away && fact->second.fence.round > 0 ? fact->second.given_to : server_id{};
     if (given_away) {
         facts_.erase(fact);
     }
@@ -127,16 +127,15 @@
 
 // A move made alone goes on under the log's fence if it was recorded in time. Otherwise the old
 // owner may have a new leader that serves the shard, which has to be asked.
-void server_agent::take_recorded(instant now, held_shard& held,
-                                 const shard_entry& entry) const
+void server_agent::take_recorded(instant now, held_shard& held, const shard_entry& entry) const
 {
     if (entry.fence <= held.fence) {
         return;
     }
     held.fence = entry.fence;
     // A shard that was taken alone has its proof; another that comes from elsewhere has not.
-    const bool late = held.alone_until ? now >= *held.alone_until
-                                       : entry.previous && *entry.previous != server_;
+    const bool late =
+        held.alone_until ? now >= *held.alone_until : entry.previous && *entry.previous != server_;
     held.alone_until.reset();
     held.ask = {};
     held.not_taken_by = {};
@@ -234,12 +233,11 @@
     }
     held.asked_at = now;
     const auto from = held.ask.value.empty() ? *entry->second.previous : held.ask;
-    out.send(hooks_.leader_of(from),
-             release_request{.from = from,
-                             .to = server_,
-                             .shard = shard,
-                             .fence = held.fence,
-                             .not_taken_by = held.not_taken_by});
+    out.send(hooks_.leader_of(from), release_request{.from = from,
+                                                     .to = server_,
+                                                     .shard = shard,
+                                                     .fence = held.fence,
+                                                     .not_taken_by = held.not_taken_by});
 }
 
 bool server_agent::in_flight_ended(instant now, const held_shard& held) const
@@ -251,8 +249,7 @@
     return held.in_flight == 0 && !inherited;
 }
 
-void server_agent::advance_drain(instant now, const shard_id& shard, held_shard& held,
-                                 effects& out)
+void server_agent::advance_drain(instant now, const shard_id& shard, held_shard& held, effects& out)
 {
     if (in_flight_ended(now, held)) {
         revoke(now, shard, held, out);
@@ -279,8 +276,7 @@
     held.since = now;
     if (!lost_since_) {
         command(now,
-                {.kind = command_kind::revoke,
-                 .items = {{.shard = shard, .fence = held.left_at}}},
+                {.kind = command_kind::revoke, .items = {{.shard = shard, .fence = held.left_at}}},
                 out);
     }
 }
@@ -332,8 +328,7 @@
     command(now, std::move(order), out);
 }
 
-void server_agent::start_serving(instant now, const shard_id& shard, held_shard& held,
-                                 effects& out)
+void server_agent::start_serving(instant now, const shard_id& shard, held_shard& held, effects& out)
 {
     check_invariant(leading_ && acting_, "only an acting leader starts to serve a shard");
     held.phase = shard_phase::serving;
@@ -349,8 +344,8 @@
     (void)shard;
 }
 
-void server_agent::on_command_result(instant now, std::uint64_t number,
-                                     const command_reply& reply, effects& out)
+void server_agent::on_command_result(instant now, std::uint64_t number, const command_reply& reply,
+                                     effects& out)
 {
     const auto result = reply.result;
     const auto found = commands_.find(number);
@@ -531,8 +526,8 @@
 bool server_agent::held_alone(const shard_id& shard, const shard_entry& entry) const
 {
     const auto fact = facts_.find(shard);
-    return fact != facts_.end() && fact->second.given_to.value.empty() &&
-           entry.owner != server_ && fact->second.fence.offset == entry.fence.offset &&
+    return fact != facts_.end() && fact->second.given_to.value.empty() && entry.owner != server_ &&
+           fact->second.fence.offset == entry.fence.offset &&
            fact->second.fence.round > entry.fence.round;
 }
 
@@ -805,8 +800,8 @@
     server_id best = owner;
     std::pair<int, std::uint64_t> best_rank{2, 0};
     for (const auto& [id, server] : log.servers()) {
-        if (server.service != shard.service || server.retiring || id == owner ||
-            id == server_ || !hooks_.server_usable(id)) {
+        if (server.service != shard.service || server.retiring || id == owner || id == server_ ||
+            !hooks_.server_usable(id)) {
             continue;
         }
         const bool local =
--- a/src/libs/exchange/response_head.cpp
+++ b/src/libs/exchange/response_head.cpp
@@ -64,13 +64,19 @@
 
 bool is_hop_header(const std::string& name)
 {
-    static constexpr std::array names{"connection",        "keep-alive", "proxy-authenticate",
-                                      "proxy-connection",  "te",         "trailer",
-                                      "transfer-encoding", "upgrade",    "content-length",
-                                      "host",              "expect"};
-    return std::any_of(names.begin(), names.end(), [&](const char* it) {
-        return strcasecmp(name.c_str(), it) == 0;
-    });
+    static constexpr std::array names{"connection",
+                                      "keep-alive",
+                                      "proxy-authenticate",
+                                      "proxy-connection",
+                                      "te",
+                                      "trailer",
+                                      "transfer-encoding",
+                                      "upgrade",
+                                      "content-length",
+                                      "host",
+                                      "expect"};
+    return std::any_of(names.begin(), names.end(),
+                       [&](const char* it) { return strcasecmp(name.c_str(), it) == 0; });
 }
 
 } // namespace quincewing
--- a/src/libs/ledger/ledger.cpp
+++ b/src/libs/ledger/ledger.cpp
@@ -41,8 +41,8 @@
     return ledger_reply::fresh;
 }
 
-ledger_item ledger::end(instant now, const shard_id& shard, const std::string& key,
-                        run_state state, kept_response response)
+ledger_item ledger::end(instant now, const shard_id& shard, const std::string& key, run_state state,
+                        kept_response response)
 {
     const entry_key id{shard, key};
     const auto found = entries_.find(id);
--- a/src/libs/membership/member_table.cpp
+++ b/src/libs/membership/member_table.cpp
@@ -29,9 +29,8 @@
 
 void member_table::expire(instant now)
 {
-    std::erase_if(members_, [&](const auto& it) {
-        return now - it.second.last_heard > options_.forget;
-    });
+    std::erase_if(members_,
+                  [&](const auto& it) { return now - it.second.last_heard > options_.forget; });
 }
 
 bool member_table::live(instant now, const host_id& host) const
--- a/src/libs/metrics/registry.cpp
+++ b/src/libs/metrics/registry.cpp
@@ -11,7 +11,7 @@
     std::string out;
     for (const auto& [key, value] : by) {
         out += out.empty() ? "" : ",";
-        out += key + "=\"" + value + "\"";
+        out.append(key).append("=\"").append(value).append("\"");
     }
     return out;
 }
--- a/src/libs/net/http_call.cpp
+++ b/src/libs/net/http_call.cpp
@@ -63,8 +63,7 @@
     const auto to = parse_endpoint(request.address);
     auto state = std::make_unique<call_state>();
     state->done = std::move(done);
-    state->connection =
-        evhttp_connection_base_new(loop.base(), nullptr, to.ip.c_str(), to.port);
+    state->connection = evhttp_connection_base_new(loop.base(), nullptr, to.ip.c_str(), to.port);
     const auto tv = to_timeval(request.timeout);
     evhttp_connection_set_timeout_tv(state->connection, &tv);
     evhttp_connection_free_on_completion(state->connection);
--- a/src/libs/ownership/pair_member.cpp
+++ b/src/libs/ownership/pair_member.cpp
@@ -126,10 +126,10 @@
     if (const auto at = time_of(acks_sent_, beat.confirmed_ack)) {
         confirmed_ack_sent_ = std::max(confirmed_ack_sent_.value_or(*at), *at);
         // The leader sent this beat after it got that acknowledgment, so its read is no older.
-        if (beat.fresh_age > 0 && at->time_since_epoch().count() >
-                                      static_cast<duration::rep>(beat.fresh_age)) {
-            fresh_from_leader_ = std::max(fresh_from_leader_,
-                                          *at - std::chrono::microseconds{beat.fresh_age});
+        if (beat.fresh_age > 0 &&
+            at->time_since_epoch().count() > static_cast<duration::rep>(beat.fresh_age)) {
+            fresh_from_leader_ =
+                std::max(fresh_from_leader_, *at - std::chrono::microseconds{beat.fresh_age});
         }
     }
     ++ack_number_;
--- a/src/libs/placement/planner.cpp
+++ b/src/libs/placement/planner.cpp
@@ -27,11 +27,10 @@
     out.forecast.imbalance_after = layout.imbalance();
     out.forecast.shards_moved = layout.shards_moved();
     if (layout.shard_count() > 0) {
-        out.forecast.churn = static_cast<double>(layout.shards_moved()) /
-                             static_cast<double>(layout.shard_count());
+        out.forecast.churn =
+            static_cast<double>(layout.shards_moved()) / static_cast<double>(layout.shard_count());
     }
-    out.forecast.unavailable =
-        options.move_gap * static_cast<duration::rep>(layout.shards_moved());
+    out.forecast.unavailable = options.move_gap * static_cast<duration::rep>(layout.shards_moved());
     return out;
 }
 
@@ -42,8 +41,7 @@
     if (found == state.services().end() || found->second.shards == 0) {
         return {};
     }
-    return shard_id{service,
-                    static_cast<std::uint32_t>(stable_hash(key) % found->second.shards)};
+    return shard_id{service, static_cast<std::uint32_t>(stable_hash(key) % found->second.shards)};
 }
 
 class maker
@@ -85,8 +83,8 @@
         layout.close_server(it.server);
         layout.drain(it.server, {});
         auto out = finish(state_, layout, before, options_);
-        const bool left = std::any_of(
-            state_.shards().begin(), state_.shards().end(), [&](const auto& shard) {
+        const bool left =
+            std::any_of(state_.shards().begin(), state_.shards().end(), [&](const auto& shard) {
                 return shard.second.owner == it.server && layout.owner(shard.first) == it.server;
             });
         if (left) {
@@ -168,8 +166,7 @@
 }
 
 tl::expected<plan, std::string> make_plan(const log_state& state, const intent& what,
-                                          const shard_loads& loads,
-                                          const planner_options& options)
+                                          const shard_loads& loads, const planner_options& options)
 {
     return std::visit(maker{state, loads, options}, what);
 }
--- a/src/libs/placement/shard_layout.cpp
+++ b/src/libs/placement/shard_layout.cpp
@@ -136,7 +136,8 @@
 
 void shard_layout::drain(const server_id& server, const std::optional<shard_id>& keep)
 {
-    const auto home = servers_.contains(server) ? servers_.at(server).data_centre : data_centre_id{};
+    const auto home =
+        servers_.contains(server) ? servers_.at(server).data_centre : data_centre_id{};
     const auto shards = held_[server];
     for (const auto& shard : shards) {
         if (keep == shard || moving(shard)) {
--- a/src/libs/settings/host_settings.cpp
+++ b/src/libs/settings/host_settings.cpp
@@ -16,6 +16,7 @@
     file.expect_section(section);
     file.require(section, "data_centre");
     file.get_address(section, "address", to.address);
+    file.get_address(section, "listen", to.listen);
     file.get_address(section, "callers", to.callers);
     file.get_address(section, "operators", to.operators);
     file.get(section, "data_centre", to.data_centre);
@@ -103,8 +104,7 @@
     return to;
 }
 
-server_settings read_server(settings_file& file, const std::string& name,
-                            const host_settings& all)
+server_settings read_server(settings_file& file, const std::string& name, const host_settings& all)
 {
     const auto section = "server " + name;
     server_settings to;
@@ -124,9 +124,9 @@
 void check_addresses(settings_file& file, const host_settings& to)
 {
     std::set<std::string> own;
-    for (const auto& [key, address] : {std::pair{"address", to.address},
-                                       std::pair{"callers", to.callers},
-                                       std::pair{"operators", to.operators}}) {
+    for (const auto& [key, address] :
+         {std::pair{"address", to.address}, std::pair{"callers", to.callers},
+          std::pair{"operators", to.operators}}) {
         if (!own.insert(address).second) {
             file.add_error("host", key, "'" + address + "' is used twice", "an address of its own");
         }
@@ -168,8 +168,7 @@
     return to;
 }
 
-tl::expected<host_settings, std::vector<settings_error>>
-read_settings_file(const std::string& path)
+tl::expected<host_settings, std::vector<settings_error>> read_settings_file(const std::string& path)
 {
     std::ifstream in{path};
     std::ostringstream text;
--- a/src/libs/settings/settings_file.cpp
+++ b/src/libs/settings/settings_file.cpp
@@ -195,8 +195,8 @@
     to = value;
 }
 
-void settings_file::get_bytes(const std::string& section, const std::string& key,
-                              std::uint64_t& to, std::uint64_t least, std::uint64_t most)
+void settings_file::get_bytes(const std::string& section, const std::string& key, std::uint64_t& to,
+                              std::uint64_t least, std::uint64_t most)
 {
     const auto it = find(section, key);
     if (!it) {
@@ -211,15 +211,15 @@
     to = *n;
 }
 
-void settings_file::get_address(const std::string& section, const std::string& key,
-                                std::string& to)
+void settings_file::get_address(const std::string& section, const std::string& key, std::string& to)
 {
     const auto it = find(section, key);
     if (!it) {
         return;
     }
     if (!is_address(*it)) {
-        add_error(section, key, "'" + *it + "' is not an address", "ip:port, such as 10.0.0.1:7000");
+        add_error(section, key, "'" + *it + "' is not an address",
+                  "ip:port, such as 10.0.0.1:7000");
         return;
     }
     to = *it;
@@ -251,8 +251,8 @@
     }
 }
 
-void settings_file::add_error(const std::string& section, const std::string& key,
-                              std::string what, std::string expected)
+void settings_file::add_error(const std::string& section, const std::string& key, std::string what,
+                              std::string expected)
 {
     errors_.push_back({.file = name_,
                        .section = section,
--- a/src/libs/state/log_state.cpp
+++ b/src/libs/state/log_state.cpp
@@ -45,7 +45,8 @@
     recent_ids_.push_back(id);
     if (recent_ids_.size() > 2 * recent_ids_kept) {
         const auto last = recent_ids_.begin() + recent_ids_kept;
-        std::for_each(recent_ids_.begin(), last, [this](const auto& old) { recent_set_.erase(old); });
+        std::for_each(recent_ids_.begin(), last,
+                      [this](const auto& old) { recent_set_.erase(old); });
         recent_ids_.erase(recent_ids_.begin(), last);
     }
     return false;
@@ -158,8 +159,7 @@
     return n > 0 ? accepted() : refused(reason);
 }
 
-outcome log_state::apply_body(std::uint64_t offset, const record& /*it*/,
-                              const moves_settled& body)
+outcome log_state::apply_body(std::uint64_t offset, const record& /*it*/, const moves_settled& body)
 {
     std::size_t n = 0;
     for (const auto& item : body.items) {
--- a/src/plugins/backends/backend_connection.cpp
+++ b/src/plugins/backends/backend_connection.cpp
@@ -43,8 +43,8 @@
 {
     const auto to = parse_endpoint(address);
     auto* bev = bufferevent_socket_new(loop.base(), -1, BEV_OPT_CLOSE_ON_FREE);
-    connection_ = evhttp_connection_base_bufferevent_new(loop.base(), nullptr, bev, to.ip.c_str(),
-                                                         to.port);
+    connection_ =
+        evhttp_connection_base_bufferevent_new(loop.base(), nullptr, bev, to.ip.c_str(), to.port);
     evbuffer_add_cb(bufferevent_get_output(bev), on_written, this);
 }
 
@@ -86,8 +86,7 @@
                       std::to_string(std::max<long>(left, 1)).c_str());
     if (it.at.offset > 0) {
         evhttp_add_header(headers, "Quincewing-Fence", to_string(it.at).c_str());
-        evhttp_add_header(headers, "Quincewing-Shard",
-                          std::to_string(it.it->shard.number).c_str());
+        evhttp_add_header(headers, "Quincewing-Shard", std::to_string(it.it->shard.number).c_str());
     }
     evbuffer_add(evhttp_request_get_output_buffer(out), request.body.data(), request.body.size());
     evhttp_make_request(connection_, out, command_of(request.method), request.target.c_str());
--- a/src/plugins/backends/backend_pool.cpp
+++ b/src/plugins/backends/backend_pool.cpp
@@ -15,11 +15,11 @@
 command_reply to_reply(const http_answer& answer)
 {
     if (answer.status == 0) {
-        return {.result = answer.refused ? command_result::process_gone
-                                         : command_result::no_answer};
+        return {.result =
+                    answer.refused ? command_result::process_gone : command_result::no_answer};
     }
-    command_reply out{.result = answer.status == 409 ? command_result::fenced
-                                                     : command_result::done};
+    command_reply out{.result =
+                          answer.status == 409 ? command_result::fenced : command_result::done};
     const auto clock = answer.headers.find("Quincewing-Clock");
     if (clock != answer.headers.end()) {
         out.server_clock = std::strtoull(clock->second.c_str(), nullptr, 10);
@@ -53,8 +53,8 @@
 {
     backend_connection* best = nullptr;
     for (const auto& it : connections_) {
-        const bool good = !it->busy() && it->used() &&
-                          (idempotent || now - it->last_answer() <= options_.fresh);
+        const bool good =
+            !it->busy() && it->used() && (idempotent || now - it->last_answer() <= options_.fresh);
         if (good && (best == nullptr || it->last_answer() > best->last_answer())) {
             best = it.get();
         }
@@ -197,15 +197,13 @@
 
 void backend_pool::probe(std::function<void(bool, bool)> done)
 {
-    http_request request{.address = address_,
-                         .path = "/quincewing/health",
-                         .timeout = options_.command_timeout};
-    http_call(loop_, request,
-              [alive = alive_, done = std::move(done)](const http_answer& answer) {
-                  if (*alive) {
-                      done(answer.status != 0, answer.refused);
-                  }
-              });
+    http_request request{
+        .address = address_, .path = "/quincewing/health", .timeout = options_.command_timeout};
+    http_call(loop_, request, [alive = alive_, done = std::move(done)](const http_answer& answer) {
+        if (*alive) {
+            done(answer.status != 0, answer.refused);
+        }
+    });
 }
 
 void backend_pool::command(const server_command& it, std::function<void(const command_reply&)> done)
@@ -224,13 +222,12 @@
                                                                  : "/quincewing/health",
                          .body = orders ? body.str() : "",
                          .timeout = options_.command_timeout};
-    http_call(loop_, request,
-              [alive = alive_, done = std::move(done)](const http_answer& answer) {
-                  if (!*alive) {
-                      return;
-                  }
-                  done(to_reply(answer));
-              });
+    http_call(loop_, request, [alive = alive_, done = std::move(done)](const http_answer& answer) {
+        if (!*alive) {
+            return;
+        }
+        done(to_reply(answer));
+    });
 }
 
 // A late request may be on a connection that something in between has lost track of. When a new
--- a/src/plugins/callers/caller_request.cpp
+++ b/src/plugins/callers/caller_request.cpp
@@ -50,8 +50,7 @@
 void caller_request::take(host_task& host, evhtp_request_t* request)
 {
     auto* self = new caller_request{host, request};
-    evhtp_request_set_hook(request, evhtp_hook_on_request_fini,
-                           as_evhtp_hook(on_fini), self);
+    evhtp_request_set_hook(request, evhtp_hook_on_request_fini, as_evhtp_hook(on_fini), self);
     evhtp_request_pause(request);
     self->begin();
 }
@@ -80,8 +79,7 @@
 
 void caller_request::add_header(const char* key, const std::string& value)
 {
-    evhtp_headers_add_header(request_->headers_out,
-                             evhtp_header_new(key, value.c_str(), 1, 1));
+    evhtp_headers_add_header(request_->headers_out, evhtp_header_new(key, value.c_str(), 1, 1));
 }
 
 // A refusal of the request itself: nothing ran.
@@ -123,8 +121,8 @@
         evhtp_send_reply_chunk_start(request_, status_);
     }
     if (framing_ != framing::gathered) {
-        evhtp_connection_set_hook(request_->conn, evhtp_hook_on_write,
-                                  as_evhtp_hook(on_write), this);
+        evhtp_connection_set_hook(request_->conn, evhtp_hook_on_write, as_evhtp_hook(on_write),
+                                  this);
     }
 }
 
--- a/src/plugins/callers/callers_task.cpp
+++ b/src/plugins/callers/callers_task.cpp
@@ -41,8 +41,7 @@
     ++self.connections;
     evhtp_connection_set_hook(connection, evhtp_hook_on_connection_fini,
                               as_evhtp_hook(on_connection_fini), arg);
-    evhtp_connection_set_hook(connection, evhtp_hook_on_headers,
-                              as_evhtp_hook(on_headers), arg);
+    evhtp_connection_set_hook(connection, evhtp_hook_on_headers, as_evhtp_hook(on_headers), arg);
     return EVHTP_RES_OK;
 }
 
--- a/src/plugins/callers/request_reader.cpp
+++ b/src/plugins/callers/request_reader.cpp
@@ -32,19 +32,18 @@
     out.first = path.substr(1, slash == std::string::npos ? slash : slash - 1);
     if (slash != std::string::npos) {
         const auto end = path.find('/', slash + 1);
-        out.second =
-            path.substr(slash + 1, end == std::string::npos ? end : end - slash - 1);
+        out.second = path.substr(slash + 1, end == std::string::npos ? end : end - slash - 1);
     }
     return out;
 }
 
-const std::pair<const std::string, service_settings>* find_service(const host_settings& settings,
-                                                                   const std::string& host,
-                                                                   const std::string& first)
+const std::pair<const std::string, service_settings>*
+find_service(const host_settings& settings, const std::string& host, const std::string& first)
 {
     const auto name = host.substr(0, host.find(':'));
     for (const auto& it : settings.services) {
-        if (!it.second.host_name.empty() && strcasecmp(it.second.host_name.c_str(), name.c_str()) == 0) {
+        if (!it.second.host_name.empty() &&
+            strcasecmp(it.second.host_name.c_str(), name.c_str()) == 0) {
             return &it;
         }
     }
@@ -74,9 +73,9 @@
     if (!it.idempotent) {
         return request_class::write;
     }
-    const bool bulk = std::any_of(
-        service.bulk_paths.begin(), service.bulk_paths.end(),
-        [&](const auto& path) { return it.target.find(path) != std::string::npos; });
+    const bool bulk =
+        std::any_of(service.bulk_paths.begin(), service.bulk_paths.end(),
+                    [&](const auto& path) { return it.target.find(path) != std::string::npos; });
     return bulk ? request_class::bulk : request_class::read;
 }
 
--- a/src/plugins/host/host_task.cpp
+++ b/src/plugins/host/host_task.cpp
@@ -22,6 +22,7 @@
       peers_(loop,
              {.self = self_,
               .address = settings.address,
+              .listen = settings.listen.empty() ? settings.address : settings.listen,
               .data_centre = data_centre_id{settings.data_centre}},
              {.on_message =
                   [this](const envelope& it) {
@@ -31,8 +32,8 @@
               .on_connected =
                   [this](const host_id& host, const data_centre_id& data_centre) {
                       const heartbeat sign{.data_centre = data_centre};
-                      core_.on_envelope(monotonic_now(),
-                                        {.from = host, .to = self_, .body = sign}, effects_);
+                      core_.on_envelope(monotonic_now(), {.from = host, .to = self_, .body = sign},
+                                        effects_);
                       work_timer_.soon();
                   },
               .on_process_gone =
@@ -141,8 +142,8 @@
 void host_task::carry_out(effects& todo)
 {
     for (const auto& it : todo.changes) {
-        LOG(INFO) << "change=" << it.what << " about=" << it.about
-                  << (it.detail.empty() ? "" : " ") << it.detail;
+        LOG(INFO) << "change=" << it.what << " about=" << it.about << (it.detail.empty() ? "" : " ")
+                  << it.detail;
         ++metrics_.counter("quincewing_changes_total", {{"what", it.what}});
     }
     for (auto& it : todo.sends) {
@@ -158,10 +159,11 @@
         if (pool == nullptr) {
             continue;
         }
-        pool->command(it, [this, server = it.server, number = it.number](const command_reply& reply) {
-            core_.on_command_result(monotonic_now(), server, number, reply, effects_);
-            work_timer_.soon();
-        });
+        pool->command(it,
+                      [this, server = it.server, number = it.number](const command_reply& reply) {
+                          core_.on_command_result(monotonic_now(), server, number, reply, effects_);
+                          work_timer_.soon();
+                      });
     }
     for (const auto& it : todo.dispatches) {
         const auto found = open_.find(it.id);
@@ -229,7 +231,8 @@
     metrics_.gauge("quincewing_log_reachable") = core_.log_reachable(now) ? 1 : 0;
     metrics_.gauge("quincewing_log_applied_offset") = static_cast<double>(core_.state().applied());
     metrics_.gauge("quincewing_requests_open") = static_cast<double>(open_.size());
-    metrics_.gauge("quincewing_peers_live") = static_cast<double>(core_.members().usable(now).size());
+    metrics_.gauge("quincewing_peers_live") =
+        static_cast<double>(core_.members().usable(now).size());
     metrics_.clear_gauge("quincewing_acting");
     metrics_.clear_gauge("quincewing_queue_length");
     metrics_.clear_gauge("quincewing_ledger_entries");
--- a/src/plugins/host/host_task_requests.cpp
+++ b/src/plugins/host/host_task_requests.cpp
@@ -178,8 +178,8 @@
     it->abort = nullptr;
     // With an idempotency key the ledger tells whether it ran; without one only an idempotent
     // request may be sent again.
-    const bool repeatable = !how.handed_over || it->request.idempotent ||
-                            !it->request.idempotency_key.empty();
+    const bool repeatable =
+        !how.handed_over || it->request.idempotent || !it->request.idempotency_key.empty();
     if (!repeatable) {
         answer(it, {.verdict = verdict::unknown, .why = refusal::server_failed});
         return;
@@ -205,8 +205,8 @@
     const auto pause = std::clamp<duration>(std::max<duration>(doubled, head.retry_after),
                                             first_pause, longest_pause);
     // Not worth waiting for a server that comes back after the deadline.
-    const bool in_time = now + std::max(pause, head.retry_after) + least_time_left <
-                         it->request.deadline;
+    const bool in_time =
+        now + std::max(pause, head.retry_after) + least_time_left < it->request.deadline;
     if (!in_time || it->attempts >= most_attempts || now - it->begun > route_again_within ||
         stopping_) {
         return false;
--- a/src/plugins/operators/operators_task.cpp
+++ b/src/plugins/operators/operators_task.cpp
@@ -26,8 +26,7 @@
 
 void reply(evhtp_request_t* request, evhtp_res status, const std::string& body, const char* type)
 {
-    evhtp_headers_add_header(request->headers_out,
-                             evhtp_header_new("Content-Type", type, 0, 0));
+    evhtp_headers_add_header(request->headers_out, evhtp_header_new("Content-Type", type, 0, 0));
     evbuffer_add(request->buffer_out, body.data(), body.size());
     evhtp_send_reply(request, status);
 }
@@ -59,10 +58,7 @@
         bool gone{};
     };
 
-    state(event_loop& l, host_task& h)
-        : loop(l), host(h), look_timer(l, [this] { look(); })
-    {
-    }
+    state(event_loop& l, host_task& h) : loop(l), host(h), look_timer(l, [this] { look(); }) {}
 
     event_loop& loop;
     host_task& host;
@@ -171,9 +167,8 @@
         static_cast<waiting*>(arg)->gone = true;
         return EVHTP_RES_OK;
     };
-    evhtp_request_set_hook(
-        request, evhtp_hook_on_request_fini,
-        as_evhtp_hook(static_cast<evhtp_hook_request_fini_cb>(on_fini)), &it);
+    evhtp_request_set_hook(request, evhtp_hook_on_request_fini,
+                           as_evhtp_hook(static_cast<evhtp_hook_request_fini_cb>(on_fini)), &it);
     evhtp_request_pause(request);
     look();
 }
--- a/src/plugins/operators/status_json.cpp
+++ b/src/plugins/operators/status_json.cpp
@@ -77,10 +77,11 @@
              {"data_centre", core.options().data_centre.value},
              {"ready", host.ready()},
              {"stopping", host.stopping()},
-             {"log", {{"applied", state.applied()},
-                      {"reachable", core.log_reachable(now)},
-                      {"config_version", state.config_version()},
-                      {"snapshot", state.snapshot_offset()}}},
+             {"log",
+              {{"applied", state.applied()},
+               {"reachable", core.log_reachable(now)},
+               {"config_version", state.config_version()},
+               {"snapshot", state.snapshot_offset()}}},
              {"set", state.set_values()},
              {"open_requests", host.open_requests()}};
     out["peers"] = json::array();
@@ -120,7 +121,8 @@
                 {"reason", plan->reason},
                 {"offset", plan->offset}};
     }
-    if (const auto server = state.servers().find(server_id{name}); server != state.servers().end()) {
+    if (const auto server = state.servers().find(server_id{name});
+        server != state.servers().end()) {
         return status_json(host)["servers"][name];
     }
     if (const auto* trace = host.requests().find(name)) {
--- a/src/plugins/peers/forward_headers.cpp
+++ b/src/plugins/peers/forward_headers.cpp
@@ -9,7 +9,8 @@
 
 std::string lower(std::string it)
 {
-    std::transform(it.begin(), it.end(), it.begin(), [](unsigned char c) { return std::tolower(c); });
+    std::transform(it.begin(), it.end(), it.begin(),
+                   [](unsigned char c) { return std::tolower(c); });
     return it;
 }
 
--- a/src/plugins/peers/h2_connection.cpp
+++ b/src/plugins/peers/h2_connection.cpp
@@ -25,8 +25,8 @@
     for (const auto& [key, value] : headers) {
         // nghttp2 copies both and changes neither.
         out.push_back({reinterpret_cast<std::uint8_t*>(const_cast<char*>(key.data())),
-                       reinterpret_cast<std::uint8_t*>(const_cast<char*>(value.data())),
-                       key.size(), value.size(), NGHTTP2_NV_FLAG_NONE});
+                       reinterpret_cast<std::uint8_t*>(const_cast<char*>(value.data())), key.size(),
+                       value.size(), NGHTTP2_NV_FLAG_NONE});
     }
     return out;
 }
@@ -86,9 +86,8 @@
                          std::uint8_t, void* user)
     {
         if (auto* it = self(user).find(frame->hd.stream_id)) {
-            it->headers.emplace_back(
-                std::string{reinterpret_cast<const char*>(name), name_size},
-                std::string{reinterpret_cast<const char*>(value), value_size});
+            it->headers.emplace_back(std::string{reinterpret_cast<const char*>(name), name_size},
+                                     std::string{reinterpret_cast<const char*>(value), value_size});
         }
         return 0;
     }
--- a/src/plugins/peers/peer_link.cpp
+++ b/src/plugins/peers/peer_link.cpp
@@ -5,9 +5,12 @@
 #include "quincewing/net/endpoint.hpp"
 
 #include <algorithm>
+#include <arpa/inet.h>
 #include <cerrno>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 namespace quincewing {
 
@@ -24,6 +27,20 @@
     bool whole{};
 };
 
+/// A socket whose connections leave from the ip of this address; -1 when there is none.
+int socket_from(const std::string& address)
+{
+    const auto fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    sockaddr_in from{};
+    from.sin_family = AF_INET;
+    inet_pton(AF_INET, parse_endpoint(address).ip.c_str(), &from.sin_addr);
+    if (fd >= 0 && bind(fd, reinterpret_cast<sockaddr*>(&from), sizeof from) != 0) {
+        close(fd);
+        return -1;
+    }
+    return fd;
+}
+
 } // namespace
 
 peer_link::peer_link(event_loop& loop, peers_task& owner, std::string address)
@@ -37,7 +54,8 @@
 {
     const auto to = parse_endpoint(address_);
     connected_ = false;
-    auto* bev = bufferevent_socket_new(loop_.base(), -1, BEV_OPT_CLOSE_ON_FREE);
+    auto* bev = bufferevent_socket_new(loop_.base(), socket_from(owner_.options_.listen),
+                                       BEV_OPT_CLOSE_ON_FREE);
     connection_ = std::make_unique<h2_connection>(
         loop_, false, bev,
         h2_connection::hooks{
@@ -119,9 +137,9 @@
 void peer_link::forward(const exchange_ptr& it, std::function<void(forward_failure)> failed)
 {
     const auto& body = it->request.body;
-    auto* stream = stands_ ? connection_->open(to_stream_headers(*it, monotonic_now()),
-                                               !body.empty())
-                           : nullptr;
+    auto* stream = stands_
+                       ? connection_->open(to_stream_headers(*it, monotonic_now()), !body.empty())
+                       : nullptr;
     if (stream == nullptr) {
         failed({.handed_over = false});
         return;
@@ -131,8 +149,8 @@
         connection_->write(*stream, body);
         connection_->end(*stream);
     }
-    const auto state = std::make_shared<forward_state>(
-        forward_state{.it = it, .failed = std::move(failed)});
+    const auto state =
+        std::make_shared<forward_state>(forward_state{.it = it, .failed = std::move(failed)});
     auto* connection = connection_.get();
     const auto id = stream->id;
     it->abort = [this, connection, id] {
--- a/src/plugins/peers/peers_task.cpp
+++ b/src/plugins/peers/peers_task.cpp
@@ -30,7 +30,7 @@
 
 bool peers_task::start()
 {
-    const auto at = parse_endpoint(options_.address);
+    const auto at = parse_endpoint(options_.listen);
     sockaddr_in address{};
     address.sin_family = AF_INET;
     address.sin_port = htons(at.port);
@@ -38,9 +38,9 @@
     const auto accept = [](evconnlistener*, evutil_socket_t fd, sockaddr*, int, void* arg) {
         static_cast<peers_task*>(arg)->on_accept(fd);
     };
-    listener_ = evconnlistener_new_bind(
-        loop_.base(), accept, this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, -1,
-        reinterpret_cast<sockaddr*>(&address), sizeof address);
+    listener_ = evconnlistener_new_bind(loop_.base(), accept, this,
+                                        LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, -1,
+                                        reinterpret_cast<sockaddr*>(&address), sizeof address);
     return listener_ != nullptr;
 }
 
--- a/src/plugins/platform/platform_task.cpp
+++ b/src/plugins/platform/platform_task.cpp
@@ -133,8 +133,8 @@
     const auto now = monotonic_now();
     const std::chrono::duration<double> passed = now - tokens_at_;
     tokens_at_ = now;
-    tokens_ = std::min(options_.append_burst,
-                       tokens_ + passed.count() * options_.appends_per_second);
+    tokens_ =
+        std::min(options_.append_burst, tokens_ + passed.count() * options_.appends_per_second);
     while (!appends_.empty() && tokens_ >= 1) {
         tokens_ -= 1;
         auto it = std::move(appends_.front());
@@ -170,7 +170,8 @@
 
 void platform_task::read_hosts()
 {
-    http_request request{.address = options_.address, .path = "/hosts", .timeout = options_.timeout};
+    http_request request{
+        .address = options_.address, .path = "/hosts", .timeout = options_.timeout};
     http_call(loop_, request, [this](const http_answer& answer) {
         if (answer.status != 200) {
             return;
--- a/tests/standins/server_standin.hpp
+++ b/tests/standins/server_standin.hpp
@@ -18,6 +18,8 @@
     double cold_factor{1};
     double cold_ms{0};
     bool journal{true};
+    /// The journal is also appended to this file, which outlives the process.
+    std::string journal_file;
 };
 
 /// A backend server with slots, grants, drain, shedding and a journal.
