--- a/tests/standins/server_standin.cpp
+++ b/tests/standins/server_standin.cpp
@@ -139,7 +139,7 @@
                 line << R"({"kind":"grant","server":")" << options_.id << R"(","shard":")" << shard
                      << R"(","fence":")" << fence.first << "." << fence.second << R"(","start_ns":)"
                      << now << R"(,"end_ns":)" << it.until_ns << "}\n";
-                note(line.str());
+                this->note(line.str());
             }
         };
         each_order(body_of(request), take);
@@ -158,6 +158,7 @@
                            std::ostringstream line;
                            line << R"({"kind":"revoke","server":")" << options_.id
                                 << R"(","shard":")" << shard << R"(","at_ns":)" << now << "}\n";
+                           this->note(line.str());
                        }
                    });
         reply(request, 200, "revoked\n");
