A shard taken alone stops like any other when its time is over

Cause:: the end of the time in which a shard may be served alone, and a takeover of such a shard, skipped the drain and the lapse of its grant. Change: both drain, revoke and wait.

--- a/src/libs/control/server_agent_shards.cpp
+++ b/src/libs/control/server_agent_shards.cpp
@@ -59,8 +59,9 @@
         const bool given_here = fact != facts_.end() && fact->second.given_to.value.empty() &&
                                 fact->second.fence > entry.fence;
         if (given_here) {
-            // How long it may be served alone is not known here: the record has to be read first.
-            hold(now, shard, shard_phase::awaiting_proof, fact->second.fence);
+            // How long it may be served alone is not known here: the record has to be read first,
+            // and the leader before may just have renewed the grant.
+            hold(now, shard, shard_phase::draining, fact->second.fence);
         } else if (entry.previous == server_) {
             mark_blind(now, shard);
             hold(now, shard, shard_phase::draining, {});
@@ -274,7 +275,7 @@
     }
     held.phase = shard_phase::revoking;
     held.since = now;
-    if (!lost_since_) {
+    if (!lost_since_ && held.leaving) {
         command(now,
                 {.kind = command_kind::revoke, .items = {{.shard = shard, .fence = held.left_at}}},
                 out);
@@ -537,7 +538,8 @@
     for (auto& [shard, held] : held_) {
         if (held.alone_until && now >= *held.alone_until &&
             (held.phase == shard_phase::serving || held.phase == shard_phase::granting)) {
-            held.phase = shard_phase::awaiting_proof;
+            held.phase = shard_phase::draining;
+            held.since = now;
         }
     }
 }
@@ -612,8 +614,10 @@
     const auto held = held_.find(it.shard);
     // Taken alone from the asker, whose pair was lost since with the memory of it, and not served
     // here any more.
-    if (held != held_.end() && held->second.phase == shard_phase::awaiting_proof &&
-        held->second.fence > it.fence) {
+    const bool stopped = held != held_.end() && (held->second.phase == shard_phase::released ||
+                                                 held->second.phase == shard_phase::draining ||
+                                                 held->second.phase == shard_phase::revoking);
+    if (stopped && !held->second.leaving && held->second.fence > it.fence) {
         lose_owned(now, held->second, it.fence, out);
     }
     if (given || (held != held_.end() && held->second.phase == shard_phase::released)) {
--- a/tests/standins/server_standin.cpp
+++ b/tests/standins/server_standin.cpp
@@ -139,7 +139,7 @@
                 line << R"({"kind":"grant","server":")" << options_.id << R"(","shard":")" << shard
                      << R"(","fence":")" << fence.first << "." << fence.second << R"(","start_ns":)"
                      << now << R"(,"end_ns":)" << it.until_ns << "}\n";
-                this->note(line.str());
+                note(line.str());
             }
         };
         each_order(body_of(request), take);
@@ -158,7 +158,7 @@
                            std::ostringstream line;
                            line << R"({"kind":"revoke","server":")" << options_.id
                                 << R"(","shard":")" << shard << R"(","at_ns":)" << now << "}\n";
-                           this->note(line.str());
+                           note(line.str());
                        }
                    });
         reply(request, 200, "revoked\n");
@@ -264,6 +264,15 @@
         line << R"({"kind":"run","server":")" << options_.id << R"(","path":")" << it.path
              << R"(","idempotency_key":")" << it.idempotency_key << R"(","fence":")" << it.fence
              << R"(","start_ns":)" << it.start_ns << R"(,"end_ns":)" << it.end_ns << "}\n";
+        note(line.str());
+    }
+
+    void note(const std::string& line)
+    {
+        journal_ << line;
+        if (file_.is_open()) {
+            file_ << line << std::flush;
+        }
     }
 
     void wake()
