--- a/tests/auto/control/fleet_run.cpp
+++ b/tests/auto/control/fleet_run.cpp
@@ -969,6 +969,11 @@
                 }
                 const auto held = agent->second.shards().find(shard);
                 const bool here = held != agent->second.shards().end();
+                const auto& pair = agent->second.pair();
+                tell(it.id.value + " view " + pair.view().leader.value + " " +
+                     pair.view().standby.value + " " + std::to_string(pair.view().term) + "." +
+                     std::to_string(pair.view().round) + (pair.heard() ? " heard" : " unheard") +
+                     (pair.handing_over() ? " handing over" : ""));
                 seen += std::string{" "} + it.id.value + "=" +
                         (here ? to_string(held->second.phase) : "none") +
                         (agent->second.may_act(local(it)) ? " acting" : " not acting");
