--- a/src/libs/control/host_core.cpp
+++ b/src/libs/control/host_core.cpp
@@ -134,9 +134,11 @@
     };
     std::visit(
         overloaded{[&](const pair_beat& it) {
-                       // A new standby may hear of its part before it has read the log.
+                       // A new standby may hear of its part before it has read the record. How the server
+                       // is treated is only known with the server itself.
                        auto* agent = agent_for(it.server);
-                       if (agent == nullptr && it.view.standby == options_.self && !leaving_) {
+                       const bool known = state_.servers().contains(it.server);
+                       if (agent == nullptr && known && it.view.standby == options_.self && !leaving_) {
                            agent = &make_agent(it.server);
                        }
                        if (agent != nullptr) {
