--- a/src/libs/control/host_core.cpp
+++ b/src/libs/control/host_core.cpp
@@ -133,75 +133,74 @@
         }
     };
     std::visit(
-        overloaded{[&](const pair_beat& it) {
-                       // A new standby may hear of its part before it has read the record. How the server
-                       // is treated is only known with the server itself.
-                       auto* agent = agent_for(it.server);
-                       const bool known = state_.servers().contains(it.server);
-                       if (agent == nullptr && known && it.view.standby == options_.self && !leaving_) {
-                           agent = &make_agent(it.server);
-                       }
-                       if (agent != nullptr) {
-                           agent->on_beat(now, from, it, out);
-                       }
-                   },
-                   [&](const pair_ack& it) {
-                       with(it.server, [&](auto& agent) { agent.on_ack(now, from, it, out); });
-                   },
-                   [&](const ledger_update& it) {
-                       with(it.server, [&](auto& agent) { agent.on_update(now, it); });
-                   },
-                   [&](const release_request& it) {
-                       with(it.from, [&](auto& agent) {
-                           agent.on_release_request(now, from, it, state_, out);
-                       });
-                   },
-                   [&](const shard_release& it) {
-                       with(it.to,
-                            [&](auto& agent) { agent.on_release(now, from, it, state_, out); });
-                   },
-                   [&](const release_taken& it) {
-                       with(it.from, [&](auto& agent) { agent.on_release_taken(now, it, out); });
-                   },
-                   [&](const late_answer& it) {
-                       with(it.server, [&](auto& agent) { agent.on_late_answer(now, it, out); });
-                   },
-                   [&](const leader_hint& it) {
-                       auto& known = hints_[it.server];
-                       if (it.view.version() >= known.view.version()) {
-                           known = {.view = it.view, .lost = it.lost};
-                       }
-                   },
-                   [&](const heartbeat& it) {
-                       const bool known = members_.all().contains(from);
-                       members_.on_heard(now, from, it.data_centre);
-                       if (it.leaving) {
-                           members_.on_leaving(from);
-                       }
-                       if (!known) {
-                           out.note("peer", from.value, "heard");
-                           next_announcement_ = now;
-                       }
-                   },
-                   [&](const state_request& it) {
-                       if (state_.applied() > it.applied) {
-                           out.send(from, state_reply{.data = state_.serialise()});
-                       }
-                   },
-                   [&](const state_reply& it) {
-                       auto state = log_state::parse(it.data);
-                       if (state && state->applied() > state_.applied() && state_.adopt(*state)) {
-                           out.note("state_taken", std::to_string(state_.applied()), from.value);
-                           after_replay(now, out);
-                       }
-                   },
-                   [&](const suspect_notice& it) {
-                       const auto left = std::chrono::microseconds{it.quarantine_left};
-                       guard_.on_notice(now, it.fingerprint, left);
-                       for (auto& [server, agent] : agents_) {
-                           agent.guard().on_notice(now, it.fingerprint, left);
-                       }
-                   }},
+        overloaded{
+            [&](const pair_beat& it) {
+                // A new standby may hear of its part before it has read the record. How the server
+                // is treated is only known with the server itself.
+                auto* agent = agent_for(it.server);
+                const bool known = state_.servers().contains(it.server);
+                if (agent == nullptr && known && it.view.standby == options_.self && !leaving_) {
+                    agent = &make_agent(it.server);
+                }
+                if (agent != nullptr) {
+                    agent->on_beat(now, from, it, out);
+                }
+            },
+            [&](const pair_ack& it) {
+                with(it.server, [&](auto& agent) { agent.on_ack(now, from, it, out); });
+            },
+            [&](const ledger_update& it) {
+                with(it.server, [&](auto& agent) { agent.on_update(now, it); });
+            },
+            [&](const release_request& it) {
+                with(it.from,
+                     [&](auto& agent) { agent.on_release_request(now, from, it, state_, out); });
+            },
+            [&](const shard_release& it) {
+                with(it.to, [&](auto& agent) { agent.on_release(now, from, it, state_, out); });
+            },
+            [&](const release_taken& it) {
+                with(it.from, [&](auto& agent) { agent.on_release_taken(now, it, out); });
+            },
+            [&](const late_answer& it) {
+                with(it.server, [&](auto& agent) { agent.on_late_answer(now, it, out); });
+            },
+            [&](const leader_hint& it) {
+                auto& known = hints_[it.server];
+                if (it.view.version() >= known.view.version()) {
+                    known = {.view = it.view, .lost = it.lost};
+                }
+            },
+            [&](const heartbeat& it) {
+                const bool known = members_.all().contains(from);
+                members_.on_heard(now, from, it.data_centre);
+                if (it.leaving) {
+                    members_.on_leaving(from);
+                }
+                if (!known) {
+                    out.note("peer", from.value, "heard");
+                    next_announcement_ = now;
+                }
+            },
+            [&](const state_request& it) {
+                if (state_.applied() > it.applied) {
+                    out.send(from, state_reply{.data = state_.serialise()});
+                }
+            },
+            [&](const state_reply& it) {
+                auto state = log_state::parse(it.data);
+                if (state && state->applied() > state_.applied() && state_.adopt(*state)) {
+                    out.note("state_taken", std::to_string(state_.applied()), from.value);
+                    after_replay(now, out);
+                }
+            },
+            [&](const suspect_notice& it) {
+                const auto left = std::chrono::microseconds{it.quarantine_left};
+                guard_.on_notice(now, it.fingerprint, left);
+                for (auto& [server, agent] : agents_) {
+                    agent.guard().on_notice(now, it.fingerprint, left);
+                }
+            }},
         body);
 }
 
--- /dev/null
+++ b/tests/failures/process_fleet.hpp
@@ -0,0 +1,100 @@
+#pragma once
+
+#include "quincewing/net/http_call.hpp"
+
+#include <map>
+#include <string>
+#include <sys/types.h>
+#include <vector>
+
+namespace quincewing::testing {
+
+/// A process that a test started and ends by its id.
+class child_process
+{
+public:
+    child_process(const std::vector<std::string>& arguments, const std::string& log);
+    ~child_process();
+    child_process(child_process&& other) noexcept;
+    child_process(const child_process&) = delete;
+    child_process& operator=(const child_process&) = delete;
+    child_process& operator=(child_process&&) = delete;
+
+    void signal(int number) const;
+    /// Waits until it has ended; returns its exit status, or 128 and the signal.
+    int wait();
+    /// Whether it has ended by itself.
+    [[nodiscard]] bool ended();
+
+private:
+    pid_t pid_{-1};
+};
+
+struct fleet_layout
+{
+    /// Data centres, each with its hosts and servers.
+    int data_centres{1};
+    int hosts_each{3};
+    int servers_each{3};
+    int slots{4};
+    double work_us{2000};
+    bool checks_fences{false};
+    /// Hosts reach each other and the platform through relays that can cut.
+    bool relays{false};
+    /// Servers are reached through relays that can silence connections.
+    bool server_relays{false};
+    std::string isolation_hold{"600s"};
+    std::string deadline{"2s"};
+    double appends_per_second{300};
+};
+
+/// Separate processes on loopback: a platform, servers and entry hosts, with files in a folder
+/// of their own.
+class process_fleet
+{
+public:
+    explicit process_fleet(fleet_layout layout);
+    ~process_fleet();
+    process_fleet(const process_fleet&) = delete;
+    process_fleet& operator=(const process_fleet&) = delete;
+
+    void start_platform();
+    void start_server(int i);
+    void start_host(int i);
+    /// Waits until every host serves every server's shards; false after some time.
+    bool wait_served(seconds most = seconds{20});
+
+    child_process& platform() { return processes_.at("platform"); }
+    child_process& server(int i) { return processes_.at("server" + std::to_string(i)); }
+    child_process& host(int i) { return processes_.at("host" + std::to_string(i)); }
+    /// Ends the process at once.
+    void kill(child_process& it);
+
+    [[nodiscard]] int hosts() const { return layout_.data_centres * layout_.hosts_each; }
+    [[nodiscard]] int servers() const { return layout_.data_centres * layout_.servers_each; }
+    [[nodiscard]] std::string callers(int host) const;
+    [[nodiscard]] std::string operators(int host) const;
+    void control_platform(const std::string& query) const;
+    /// Cuts the hosts of this data centre from all others and from the platform, or heals.
+    void cut(int data_centre, bool on) const;
+    void control_server_relay(int server, const std::string& query) const;
+    [[nodiscard]] http_answer status(int host) const;
+    /// Host index that leads the server now, -1 when none is known.
+    [[nodiscard]] int leader_of(int server) const;
+    [[nodiscard]] static std::string server_name(int i);
+    /// Lines of all servers' journals.
+    [[nodiscard]] std::vector<std::string> journal() const;
+
+private:
+    [[nodiscard]] std::string host_ip(int host) const;
+    [[nodiscard]] std::string write_settings(int host) const;
+    void start(const std::string& name, std::vector<std::string> arguments);
+    [[nodiscard]] int port(int offset) const { return base_port_ + offset; }
+
+    fleet_layout layout_;
+    std::string folder_;
+    int base_port_;
+    std::map<std::string, child_process> processes_;
+};
+
+} // namespace quincewing::testing
