Shards taken without the log are told to the hosts that route

Cause: with the platform down a killed server's shards were taken over within 41 ms, but requests went on to the lost server's leader until the log returned. Change: the taker tells the others; the log overrules it.

--- a/include/quincewing/control/host_core.hpp
+++ b/include/quincewing/control/host_core.hpp
@@ -117,6 +117,7 @@
                                                  const pair_view& view) const;
     void send_heartbeats(instant now, effects& out);
     void announce(instant now, effects& out);
+    void announce_alone(const server_id& server, const server_agent& agent, bool all, effects& out);
     void write_snapshot(instant now, effects& out);
     void drop_idle_agents();
     void spread_notices(instant now, effects& out);
@@ -127,6 +128,8 @@
     std::map<server_id, server_agent> agents_;
     std::map<request_id, server_id> request_agents_;
     std::map<server_id, hint> hints_;
+    /// Shards taken without the log, as told by their new leaders.
+    std::map<shard_id, shard_hint> shard_hints_;
     std::map<server_id, pair_view> announced_;
     std::set<server_id> announced_lost_;
     std::map<server_id, instant> unheard_since_;
--- a/include/quincewing/wire/messages.hpp
+++ b/include/quincewing/wire/messages.hpp
@@ -157,6 +157,22 @@
     }
 };
 
+/// A shard that a server took without the log, for routing; no decision rests on it.
+struct shard_hint
+{
+    shard_id shard;
+    server_id server;
+    quincewing::fence fence;
+
+    template <class F>
+    void each_field(F&& f)
+    {
+        f(shard);
+        f(server);
+        f(fence);
+    }
+};
+
 /// Sign of life between hosts.
 struct heartbeat
 {
@@ -213,9 +229,9 @@
     }
 };
 
-using message =
-    std::variant<pair_beat, pair_ack, ledger_update, release_request, shard_release, release_taken,
-                 leader_hint, heartbeat, state_request, state_reply, suspect_notice, late_answer>;
+using message = std::variant<pair_beat, pair_ack, ledger_update, release_request, shard_release,
+                             release_taken, leader_hint, heartbeat, state_request, state_reply,
+                             suspect_notice, late_answer, shard_hint>;
 
 /// A message between two entry hosts; dropped unless it is for this very process.
 struct envelope
--- a/src/libs/control/host_core.cpp
+++ b/src/libs/control/host_core.cpp
@@ -115,6 +115,10 @@
     for (auto& [server, agent] : agents_) {
         agent.on_log(now, state_, out);
     }
+    std::erase_if(shard_hints_, [this](const auto& it) {
+        const auto found = state_.shards().find(it.first);
+        return found == state_.shards().end() || found->second.fence >= it.second.fence;
+    });
 }
 
 void host_core::on_envelope(instant now, const envelope& it, effects& out)
@@ -171,6 +175,12 @@
                     known = {.view = it.view, .lost = it.lost};
                 }
             },
+            [&](const shard_hint& it) {
+                auto& known = shard_hints_[it.shard];
+                if (it.fence > known.fence) {
+                    known = it;
+                }
+            },
             [&](const heartbeat& it) {
                 const bool known = members_.all().contains(from);
                 members_.on_heard(now, from, it.data_centre);
@@ -345,6 +355,7 @@
         if (!agent.pair().leads()) {
             continue;
         }
+        announce_alone(server, agent, all, out);
         const bool lost = agent.server_lost();
         auto& told = announced_[server];
         if (!all && told == agent.pair().view() && announced_lost_.contains(server) == lost) {
@@ -363,6 +374,21 @@
     }
 }
 
+void host_core::announce_alone(const server_id& server, const server_agent& agent, bool all,
+                               effects& out)
+{
+    for (const auto& [shard, held] : agent.shards()) {
+        if (!held.alone_until || (!all && shard_hints_[shard].fence >= held.fence)) {
+            continue;
+        }
+        const shard_hint hint{.shard = shard, .server = server, .fence = held.fence};
+        shard_hints_[shard] = hint;
+        for (const auto& [host, it] : members_.all()) {
+            out.send(host, hint);
+        }
+    }
+}
+
 void host_core::write_snapshot(instant now, effects& out)
 {
     if (!has_state() || !log_reachable(now) || leaving_) {
@@ -502,8 +528,10 @@
     if (found == state_.shards().end()) {
         return {};
     }
-    return route{
-        .shard = shard, .server = found->second.owner, .leader = leader_of(found->second.owner)};
+    const auto hint = shard_hints_.find(shard);
+    const bool moved_alone = hint != shard_hints_.end() && hint->second.fence > found->second.fence;
+    const auto& server = moved_alone ? hint->second.server : found->second.owner;
+    return route{.shard = shard, .server = server, .leader = leader_of(server)};
 }
 
 std::vector<route> host_core::any_routes(const service_id& service) const
