The ledger of a shard taken alone stays until the move is settled

Change: holdings and facts go only when the log shows the move as settled; a new leader that finds such a fact answers for it.

--- a/include/quincewing/control/server_agent.hpp
+++ b/include/quincewing/control/server_agent.hpp
@@ -122,6 +122,7 @@
     // Shards and grants.
     void reconcile(instant now, const log_state& log, effects& out);
     void take_owned(instant now, const shard_id& shard, const shard_entry& entry);
+    [[nodiscard]] bool taken_alone(const shard_id& shard) const;
     void mark_blind(instant now, const shard_id& shard);
     void hold(instant now, const shard_id& shard, shard_phase phase, fence at);
     void take_recorded(instant now, held_shard& held, const shard_entry& entry) const;
--- a/src/libs/control/server_agent_shards.cpp
+++ b/src/libs/control/server_agent_shards.cpp
@@ -23,7 +23,7 @@
         const bool given_here = fact != facts_.end() && !fact->second.given_to.value.empty();
         const bool older = fact != facts_.end() && entry.fence > fact->second.fence;
         const bool passed = (older || (given_here && entry.fence == fact->second.fence)) &&
-                            entry.owner != server_ && entry.previous != server_;
+                            entry.owner != server_ && !entry.previous;
         if (passed && !held_.contains(shard)) {
             facts_.erase(fact);
         }
@@ -38,7 +38,9 @@
         if (entry.fence > held->second.fence) {
             lose_owned(now, held->second, entry.fence, out);
         }
-        if (held->second.phase == shard_phase::released && entry.previous != server_) {
+        // Until the move is settled, whoever takes the shard may still ask for its ledger.
+        if (held->second.phase == shard_phase::released && held->second.leaving &&
+            !entry.previous) {
             held_.erase(held);
             facts_.erase(shard);
             proof_updates_.erase(shard);
@@ -62,7 +64,7 @@
             // How long it may be served alone is not known here: the record has to be read first,
             // and the leader before may just have renewed the grant.
             hold(now, shard, shard_phase::draining, fact->second.fence);
-        } else if (entry.previous == server_) {
+        } else if (entry.previous == server_ || (entry.previous && taken_alone(shard))) {
             mark_blind(now, shard);
             hold(now, shard, shard_phase::draining, {});
             held_[shard].leaving = true;
@@ -71,6 +73,14 @@
     }
 }
 
+// The pair took the shard without the log at some time, so the ledger here may be the newest.
+bool server_agent::taken_alone(const shard_id& shard) const
+{
+    const auto fact = facts_.find(shard);
+    return fact != facts_.end() && fact->second.given_to.value.empty() &&
+           fact->second.fence.round > 0;
+}
+
 void server_agent::mark_blind(instant now, const shard_id& shard)
 {
     if (!blind_until_ || now >= *blind_until_) {
