--- a/src/plugins/callers/caller_request.cpp
+++ b/src/plugins/callers/caller_request.cpp
@@ -24,11 +24,11 @@
     return out;
 }
 
-inbound_request copy_request(evhtp_request_t* request)
+inbound_request copy_request(evhtp_request_t* request, const std::string& target)
 {
     inbound_request out;
     out.method = htparser_get_methodstr_m(request->method);
-    out.target = target_of(request);
+    out.target = target;
     const auto add = [](evhtp_kv_t* kv, void* arg) {
         static_cast<header_list*>(arg)->emplace_back(std::string{kv->key, kv->klen},
                                                      std::string{kv->val, kv->vlen});
@@ -43,21 +43,27 @@
 } // namespace
 
 caller_request::caller_request(host_task& host, evhtp_request_t* request)
-    : host_(host), request_(request)
+    // The library puts the body of a posted form in the place of the query when it has read it.
+    : host_(host), request_(request), target_(target_of(request))
 {
 }
 
-void caller_request::take(host_task& host, evhtp_request_t* request)
+void caller_request::attach(host_task& host, evhtp_request_t* request)
 {
     auto* self = new caller_request{host, request};
     evhtp_request_set_hook(request, evhtp_hook_on_request_fini, as_evhtp_hook(on_fini), self);
+}
+
+void caller_request::take(evhtp_request_t* request)
+{
+    auto* self = static_cast<caller_request*>(request->hooks->on_request_fini_arg);
     evhtp_request_pause(request);
     self->begin();
 }
 
 void caller_request::begin()
 {
-    auto request = copy_request(request_);
+    auto request = copy_request(request_, target_);
     const auto read = read_request(host_.settings(), monotonic_now(), request);
     std::erase_if(request.headers, [](const auto& it) { return is_hop_header(it.first); });
     if (!read) {
--- a/src/plugins/callers/caller_request.hpp
+++ b/src/plugins/callers/caller_request.hpp
@@ -14,8 +14,11 @@
 public:
     caller_request(host_task& host, evhtp_request_t* request);
 
-    /// Takes the request; its memory is the library's from now on, through the fini hook.
-    static void take(host_task& host, evhtp_request_t* request);
+    /// Keeps what the library later overwrites; call when the headers are there. The memory is
+    /// the request's from now on, through its fini hook.
+    static void attach(host_task& host, evhtp_request_t* request);
+    /// Takes the whole request.
+    static void take(evhtp_request_t* request);
 
 private:
     enum class framing : std::uint8_t
@@ -39,6 +42,7 @@
 
     host_task& host_;
     evhtp_request_t* request_;
+    std::string target_;
     exchange_ptr it_;
     framing framing_{framing::none};
     evhtp_res status_{};
--- a/src/plugins/callers/callers_task.cpp
+++ b/src/plugins/callers/callers_task.cpp
@@ -60,6 +60,7 @@
     const auto* length = evhtp_header_find(headers, "Content-Length");
     const auto most = self.host.settings().limits.request_body;
     if (length == nullptr || std::strtoull(length, nullptr, 10) <= most) {
+        caller_request::attach(self.host, request);
         return EVHTP_RES_OK;
     }
     evhtp_request_set_keepalive(request, 0);
@@ -116,11 +117,8 @@
     evhtp_set_cb(server, "/health", state::on_health, state_.get());
     evhtp_set_cb(server, "/ready", state::on_ready, state_.get());
     evhtp_set_gencb(
-        server,
-        [](evhtp_request_t* request, void* arg) {
-            caller_request::take(static_cast<state*>(arg)->host, request);
-        },
-        state_.get());
+        server, [](evhtp_request_t* request, void* /*arg*/) { caller_request::take(request); },
+        nullptr);
     return evhtp_bind_socket(server, at.ip.c_str(), at.port, listen_backlog) == 0;
 }
 
--- a/tests/failures/failures_test.cpp
+++ b/tests/failures/failures_test.cpp
@@ -85,6 +85,23 @@
     check_promises("host killed", fleet, load);
 }
 
+TEST_CASE("path: a posted form reaches the server as it was sent, through any host")
+{
+    process_fleet fleet{{}};
+    REQUIRE(fleet.wait_served());
+    for (int i = 0; i < fleet.hosts(); ++i) {
+        const auto answer =
+            http_call_and_wait({.method = "POST",
+                                .address = fleet.callers(i),
+                                .path = "/boats/boat1/release?a=b",
+                                .headers = {{"Idempotency-Key", "form" + std::to_string(i)},
+                                            {"Content-Type", "application/x-www-form-urlencoded"}},
+                                .body = "open gate"});
+        CHECK(answer.status == 200);
+        CHECK(answer.body.find(" /boats/boat1/release form") != std::string::npos);
+    }
+}
+
 TEST_CASE("failure: a leader is frozen past its lease and wakes")
 {
     process_fleet fleet{{}};
