A shard taken alone is kept until the log's owner could ask for it

Change: what was taken alone stays until a later move is settled; a record of the move makes it the log's.

--- a/include/quincewing/control/server_agent.hpp
+++ b/include/quincewing/control/server_agent.hpp
@@ -125,7 +125,8 @@
     [[nodiscard]] bool taken_alone(const shard_id& shard) const;
     void mark_blind(instant now, const shard_id& shard);
     void hold(instant now, const shard_id& shard, shard_phase phase, fence at);
-    void take_recorded(instant now, held_shard& held, const shard_entry& entry) const;
+    void take_recorded(instant now, const shard_id& shard, held_shard& held,
+                       const shard_entry& entry);
     void lose_owned(instant now, held_shard& held, fence at, effects& out);
     void refuse_waiting(instant now, held_shard& held, effects& out);
     void advance_shards(instant now, const log_state& log, effects& out);
--- a/include/quincewing/control/shard_table.hpp
+++ b/include/quincewing/control/shard_table.hpp
@@ -42,6 +42,8 @@
     std::vector<request_id> waiting;
     instant since{};
     std::optional<instant> asked_at;
+    /// Was taken without the log: the log's owner may ask for it although the log shows no move.
+    bool was_alone{};
     /// Taken without the log and not recorded in it yet: served until then at the latest.
     std::optional<instant> alone_until;
     /// Server to ask for the proof, when the log's previous owner gave the shard away alone.
--- a/src/libs/control/server_agent_shards.cpp
+++ b/src/libs/control/server_agent_shards.cpp
@@ -23,7 +23,7 @@
         const bool given_here = fact != facts_.end() && !fact->second.given_to.value.empty();
         const bool older = fact != facts_.end() && entry.fence > fact->second.fence;
         const bool passed = (older || (given_here && entry.fence == fact->second.fence)) &&
-                            entry.owner != server_ && !entry.previous;
+                            entry.owner != server_ && !entry.previous && !taken_alone(shard);
         if (passed && !held_.contains(shard)) {
             facts_.erase(fact);
         }
@@ -39,8 +39,9 @@
             lose_owned(now, held->second, entry.fence, out);
         }
         // Until the move is settled, whoever takes the shard may still ask for its ledger.
+        const bool asked_by_move = !held->second.was_alone || entry.fence > held->second.left_at;
         if (held->second.phase == shard_phase::released && held->second.leaving &&
-            !entry.previous) {
+            !entry.previous && asked_by_move) {
             held_.erase(held);
             facts_.erase(shard);
             proof_updates_.erase(shard);
@@ -64,11 +65,13 @@
             // How long it may be served alone is not known here: the record has to be read first,
             // and the leader before may just have renewed the grant.
             hold(now, shard, shard_phase::draining, fact->second.fence);
-        } else if (entry.previous == server_ || (entry.previous && taken_alone(shard))) {
+            held_[shard].was_alone = true;
+        } else if (entry.previous == server_ || taken_alone(shard)) {
             mark_blind(now, shard);
             hold(now, shard, shard_phase::draining, {});
             held_[shard].leaving = true;
             held_[shard].left_at = entry.fence;
+            held_[shard].was_alone = taken_alone(shard);
         }
     }
 }
@@ -100,6 +103,7 @@
     held.fence = at;
     held.since = now;
     held.leaving = false;
+    held.was_alone = false;
     held.asked_at.reset();
     held.alone_until.reset();
     held.ask = {};
@@ -122,7 +126,7 @@
     mark_blind(now, shard);
     const auto held = held_.find(shard);
     if (held != held_.end() && !held->second.leaving && alone_at.value.empty()) {
-        take_recorded(now, held->second, entry);
+        take_recorded(now, shard, held->second, entry);
         return;
     }
     if (held != held_.end() && entry.fence <= held->second.fence) {
@@ -138,7 +142,8 @@
 
 // A move made alone goes on under the log's fence if it was recorded in time. Otherwise the old
 // owner may have a new leader that serves the shard, which has to be asked.
-void server_agent::take_recorded(instant now, held_shard& held, const shard_entry& entry) const
+void server_agent::take_recorded(instant now, const shard_id& shard, held_shard& held,
+                                 const shard_entry& entry)
 {
     if (entry.fence <= held.fence) {
         return;
@@ -156,6 +161,13 @@
         return;
     }
     held.phase = shard_phase::granting;
+    held.was_alone = false;
+    // What was taken alone is the log's now.
+    const auto fact = facts_.find(shard);
+    if (fact != facts_.end() && fact->second.given_to.value.empty()) {
+        fact->second.fence = entry.fence;
+        queue_fact(now, shard);
+    }
 }
 
 void server_agent::lose_owned(instant now, held_shard& held, fence at, effects& out)
@@ -767,6 +779,7 @@
     if (!known) {
         take_proof(now, it, out);
         held_[it.shard].alone_until = until;
+        held_[it.shard].was_alone = true;
     } else if (copied(proof_updates_[it.shard])) {
         out.send(from, release_taken{.from = it.from, .shard = it.shard, .fence = it.fence});
     }
