--- /dev/null
+++ b/bench/slopes_bench.cpp
@@ -0,0 +1,173 @@
+#include "quincewing/base/hash.hpp"
+#include "quincewing/control/host_core.hpp"
+#include "quincewing/state/log_bootstrap.hpp"
+
+#include <chrono>
+#include <fstream>
+#include <iostream>
+#include <string>
+
+/// Slopes for docs/CAPACITY.md: what state, replay, snapshot, ledger, copies and heartbeats cost
+/// at several sizes. Sizes and contents are fixed, so there is no seed.
+namespace {
+
+using namespace quincewing;
+using clock_type = std::chrono::steady_clock;
+
+double since(clock_type::time_point begun)
+{
+    return std::chrono::duration<double>(clock_type::now() - begun).count();
+}
+
+/// Resident memory of this process, in bytes.
+double resident()
+{
+    std::ifstream in{"/proc/self/statm"};
+    double pages = 0;
+    in >> pages >> pages;
+    constexpr double page_bytes = 4096;
+    return pages * page_bytes;
+}
+
+genesis deployment(int servers, std::uint32_t shards)
+{
+    genesis it;
+    it.services.push_back({.id = service_id{"v"}, .shards = shards, .keyed = true});
+    for (int i = 0; i < servers; ++i) {
+        it.servers.push_back({.id = server_id{"server-" + std::to_string(i)},
+                              .service = service_id{"v"},
+                              .data_centre = data_centre_id{"dc" + std::to_string(i % 9)},
+                              .address = "10.0.0.1:8000"});
+    }
+    return it;
+}
+
+record make(std::uint64_t n, record_body body)
+{
+    return {.id = record_id{"host/" + std::to_string(n)},
+            .author = host_id{"10.0.0.1:7100/0123456789abcdef"},
+            .body = std::move(body)};
+}
+
+void state_slopes()
+{
+    for (const int servers : {100, 1000, 10'000}) {
+        const auto shards = static_cast<std::uint32_t>(servers * 16);
+        const auto before = resident();
+        log_state state;
+        state.apply(log_offset{1}, make(1, deployment(servers, shards)));
+        const auto bytes = resident() - before;
+        std::uint64_t offset = 1;
+        constexpr int records = 20'000;
+        const auto begun = clock_type::now();
+        for (int i = 0; i < records; ++i) {
+            const auto server = server_id{"server-" + std::to_string(i % servers)};
+            ++offset;
+            const auto bytes_of = encode_record(
+                make(offset, pair_change{.server = server,
+                                         .expected_term = state.pairs().at(server).term,
+                                         .leader = host_id{"10.0.0.1:7100/0123456789abcdef"},
+                                         .standby = host_id{"10.0.0.2:7100/0123456789abcdef"}}));
+            state.apply(log_offset{offset}, *decode_record(bytes_of));
+        }
+        const auto replay = records / since(begun);
+        const auto snapshot_begun = clock_type::now();
+        const auto data = state.serialise();
+        const auto written = since(snapshot_begun);
+        const auto parse_begun = clock_type::now();
+        const auto parsed = log_state::parse(data);
+        std::cout << "state: " << servers << " servers " << shards << " shards: "
+                  << bytes / shards << " B resident a shard, replay " << replay
+                  << " pair records/s, snapshot " << data.size() << " B written in "
+                  << written * 1000 << " ms read in " << since(parse_begun) * 1000 << " ms"
+                  << (parsed ? "" : " FAILED") << "\n";
+        const auto plan_begun = clock_type::now();
+        constexpr int plans = 20;
+        for (int i = 0; i < plans; ++i) {
+            ++offset;
+            state.apply(log_offset{offset},
+                        make(offset, plan_confirmed{.plan = plan_id{"p" + std::to_string(offset)},
+                                                    .expected_version = state.config_version(),
+                                                    .set = {{"x", "y"}}}));
+        }
+        std::cout << "state: " << servers << " servers: a plan applied in "
+                  << since(plan_begun) / plans * 1000 << " ms\n";
+    }
+}
+
+void ledger_slopes()
+{
+    for (const int entries : {1000, 10'000, 100'000}) {
+        const auto before = resident();
+        ledger it;
+        const shard_id shard{service_id{"v"}, 1};
+        const auto begun = clock_type::now();
+        std::size_t copied = 0;
+        for (int i = 0; i < entries; ++i) {
+            const auto key = "0f8fad5b-d9cb-469f-a165-" + std::to_string(100'000'000'000 + i);
+            it.begin(instant{}, shard, key, 1);
+            auto item = it.end(instant{}, shard, key, run_state::answered,
+                               {.status = 200,
+                                .headers = {{"Content-Type", "application/json"}},
+                                .body = std::string(120, 'x')});
+            copied += encode_envelope({.body = ledger_update{.items = {std::move(item)}}}).size();
+        }
+        std::cout << "ledger: " << entries << " entries: " << (resident() - before) / entries
+                  << " B resident an entry, " << since(begun) / entries * 1e6
+                  << " us a run with its copy encoded, " << copied / entries
+                  << " B a copy of an answer of 120 B\n";
+    }
+}
+
+void membership_slopes()
+{
+    for (const int hosts : {10, 100, 1000}) {
+        host_core core{{.self = make_host_id("10.9.9.9:7100", 1),
+                        .data_centre = data_centre_id{"a"}}};
+        effects out;
+        instant now{seconds{100}};
+        constexpr int rounds = 20;
+        std::size_t bytes = 0;
+        const auto begun = clock_type::now();
+        for (int r = 0; r < rounds; ++r) {
+            now += millis{500};
+            for (int i = 0; i < hosts; ++i) {
+                const auto from = make_host_id("10.0.0." + std::to_string(i) + ":7100", 7);
+                core.on_envelope(now,
+                                 {.from = from,
+                                  .to = core.options().self,
+                                  .body = heartbeat{data_centre_id{"a"}}},
+                                 out);
+            }
+            core.tick(now, out);
+            for (const auto& it : out.sends) {
+                bytes += encode_envelope({.from = core.options().self, .to = it.to, .body = it.body})
+                             .size();
+            }
+            out = {};
+        }
+        std::cout << "membership: " << hosts << " hosts: " << since(begun) / rounds * 1e6
+                  << " us and " << bytes / rounds << " B sent a round of 500 ms\n";
+    }
+}
+
+void pair_slopes()
+{
+    const pair_beat beat{.server = server_id{"server-1"},
+                         .view = {.leader = make_host_id("10.0.0.1:7100", 1),
+                                  .standby = make_host_id("10.0.0.2:7100", 2)}};
+    std::cout << "pair: a beat is "
+              << encode_envelope({.from = beat.view.leader, .to = beat.view.standby, .body = beat})
+                     .size()
+              << " B\n";
+}
+
+} // namespace
+
+int main()
+{
+    pair_slopes();
+    membership_slopes();
+    ledger_slopes();
+    state_slopes();
+}
