Queue: the limit follows the long-run service time, not the lowest ever seen

Cause: varied work is always far above its minimum, so the limit fell to 1. Change: smoothed against long-run time.

--- a/bench/overload_bench.cpp
+++ b/bench/overload_bench.cpp
@@ -158,14 +158,17 @@
 int main(int argc, char** argv)
 {
     const std::uint64_t seed = argc > 1 ? std::strtoull(argv[1], nullptr, 10) : 1;
-    std::cout << "seed " << seed << ", deadline " << deadline_us / 1000 << " ms, "
-              << caller_tries << " tries a caller\n";
+    std::cout << "seed " << seed << ", deadline " << deadline_us / 1000 << " ms, " << caller_tries
+              << " tries a caller\n";
     for (const double slots : {2.0, 4.0}) {
         const std::vector<std::pair<std::string, queue_options>> policies{
             {"quincewing", {.slots = slots, .cold_share = 1}},
             {"limit only", {.slots = slots, .cold_share = 1, .refuse_by_deadline = false}},
             {"no limit",
-             {.slots = 1e6, .max_queued = 1'000'000, .cold_share = 1, .refuse_by_deadline = false}}};
+             {.slots = 1e6,
+              .max_queued = 1'000'000,
+              .cold_share = 1,
+              .refuse_by_deadline = false}}};
         for (const double load : {0.5, 0.9, 1.2, 2.0}) {
             for (const auto& [name, options] : policies) {
                 const auto it = overload{options, slots, load, seed}.run();
--- a/bench/slopes_bench.cpp
+++ b/bench/slopes_bench.cpp
@@ -76,11 +76,10 @@
         const auto written = since(snapshot_begun);
         const auto parse_begun = clock_type::now();
         const auto parsed = log_state::parse(data);
-        std::cout << "state: " << servers << " servers " << shards << " shards: "
-                  << bytes / shards << " B resident a shard, replay " << replay
-                  << " pair records/s, snapshot " << data.size() << " B written in "
-                  << written * 1000 << " ms read in " << since(parse_begun) * 1000 << " ms"
-                  << (parsed ? "" : " FAILED") << "\n";
+        std::cout << "state: " << servers << " servers " << shards << " shards: " << bytes / shards
+                  << " B resident a shard, replay " << replay << " pair records/s, snapshot "
+                  << data.size() << " B written in " << written * 1000 << " ms read in "
+                  << since(parse_begun) * 1000 << " ms" << (parsed ? "" : " FAILED") << "\n";
         const auto plan_begun = clock_type::now();
         constexpr int plans = 20;
         for (int i = 0; i < plans; ++i) {
@@ -122,8 +121,8 @@
 void membership_slopes()
 {
     for (const int hosts : {10, 100, 1000}) {
-        host_core core{{.self = make_host_id("10.9.9.9:7100", 1),
-                        .data_centre = data_centre_id{"a"}}};
+        host_core core{
+            {.self = make_host_id("10.9.9.9:7100", 1), .data_centre = data_centre_id{"a"}}};
         effects out;
         instant now{seconds{100}};
         constexpr int rounds = 20;
@@ -141,8 +140,9 @@
             }
             core.tick(now, out);
             for (const auto& it : out.sends) {
-                bytes += encode_envelope({.from = core.options().self, .to = it.to, .body = it.body})
-                             .size();
+                bytes +=
+                    encode_envelope({.from = core.options().self, .to = it.to, .body = it.body})
+                        .size();
             }
             out = {};
         }
@@ -156,10 +156,10 @@
     const pair_beat beat{.server = server_id{"server-1"},
                          .view = {.leader = make_host_id("10.0.0.1:7100", 1),
                                   .standby = make_host_id("10.0.0.2:7100", 2)}};
-    std::cout << "pair: a beat is "
-              << encode_envelope({.from = beat.view.leader, .to = beat.view.standby, .body = beat})
-                     .size()
-              << " B\n";
+    std::cout
+        << "pair: a beat is "
+        << encode_envelope({.from = beat.view.leader, .to = beat.view.standby, .body = beat}).size()
+        << " B\n";
 }
 
 } // namespace
--- a/include/quincewing/admission/server_queue.hpp
+++ b/include/quincewing/admission/server_queue.hpp
@@ -22,7 +22,7 @@
     std::size_t max_queued{2000};
     /// Service time assumed before the first measurement.
     duration first_estimate{millis{5}};
-    /// Latency over its own baseline by this factor lowers the limit.
+    /// Latency over its long-run value by this factor lowers the limit.
     double slow_ratio{3.0};
     /// Share of the declared slots with which a cold server starts.
     double cold_share{0.5};
@@ -93,8 +93,9 @@
         double credit{};
         /// Smoothed service time in microseconds.
         double service{};
-        /// Service time when the server is unhurried, in microseconds.
+        /// Long-run service time, in microseconds, and how many answers it has seen.
         double baseline{};
+        int learned{};
     };
 
     [[nodiscard]] class_state* pick_class(const std::function<bool(request_id)>& ready);
@@ -106,7 +107,6 @@
     std::array<class_state, request_class_count> classes_;
     std::map<request_id, running_request> running_;
     double limit_{};
-    double ratio_{1.0};
 };
 
 } // namespace quincewing
--- a/src/libs/admission/server_queue.cpp
+++ b/src/libs/admission/server_queue.cpp
@@ -9,9 +9,10 @@
 
 constexpr std::array<double, request_class_count> class_weights{8.0, 4.0, 1.0};
 constexpr double smoothing = 0.1;
-// The baseline follows a lower value at once and a higher one slowly, so that lasting changes
-// of the work count as normal in the end.
-constexpr double baseline_rise = 0.002;
+// The long-run time starts as the mean of the first answers and then moves slowly, so that
+// lasting changes of the work count as normal in the end.
+constexpr int baseline_warm_up = 20;
+constexpr double baseline_step = 0.005;
 constexpr double limit_step_up = 0.1;
 constexpr double limit_cut = 0.9;
 constexpr double shed_cut = 0.7;
@@ -165,22 +166,20 @@
 
 void server_queue::learn(class_state& klass, double took)
 {
-    klass.service += smoothing * (took - klass.service);
-    if (klass.baseline == 0 || took < klass.baseline) {
-        klass.baseline = took;
-    } else {
-        klass.baseline += baseline_rise * (took - klass.baseline);
-    }
-    adapt_limit(took / std::max(klass.baseline, 1.0));
+    const auto n = static_cast<double>(klass.learned);
+    klass.learned = std::min(klass.learned + 1, baseline_warm_up);
+    klass.service += std::max(smoothing, 1 / (n + 1)) * (took - klass.service);
+    const auto step = klass.learned < baseline_warm_up ? 1 / (n + 1) : baseline_step;
+    klass.baseline += step * (took - klass.baseline);
+    adapt_limit(klass.service / std::max(klass.baseline, 1.0));
 }
 
-// Single answers vary; the smoothed ratio to the baseline shows a server that is slowing down.
+// Single answers vary; their smoothed time against the long-run one shows a server that is slowing
+// down, also where the work differs from request to request.
 void server_queue::adapt_limit(double ratio)
 {
-    ratio_ += smoothing * (std::min(ratio, 4 * options_.slow_ratio) - ratio_);
-    if (ratio_ > options_.slow_ratio) {
+    if (ratio > options_.slow_ratio) {
         limit_ = std::max(1.0, limit_ * limit_cut);
-        ratio_ = 1.0;
         return;
     }
     limit_ = std::min(options_.slots, limit_ + limit_step_up);
