Queue: a request is sent with several service times left before its deadline

Cause: work varies, so requests sent with one mean service time left often ended too late and were sent again. Change: four mean service times, at most half of what the request has.

--- a/include/quincewing/admission/server_queue.hpp
+++ b/include/quincewing/admission/server_queue.hpp
@@ -37,6 +37,8 @@
     instant deadline{};
     /// A suspect of a crash: runs with nothing beside it.
     bool alone{};
+    /// Time before the deadline at which it must start; set by the queue.
+    duration needs{};
 };
 
 /// Refused at once; a caller may come back after this time.
@@ -100,6 +102,7 @@
 
     [[nodiscard]] class_state* pick_class(const std::function<bool(request_id)>& ready);
     [[nodiscard]] double work_queued() const;
+    [[nodiscard]] static duration time_needed(const class_state& klass, duration left);
     void learn(class_state& klass, double took);
     void adapt_limit(double ratio);
 
--- a/src/libs/admission/server_queue.cpp
+++ b/src/libs/admission/server_queue.cpp
@@ -9,6 +9,8 @@
 
 constexpr std::array<double, request_class_count> class_weights{8.0, 4.0, 1.0};
 constexpr double smoothing = 0.1;
+// A request is sent only if this many of its mean service times are left before the deadline.
+constexpr double time_allowed = 4.0;
 // The long-run time starts as the mean of the first answers and then moves slowly, so that
 // lasting changes of the work count as normal in the end.
 constexpr int baseline_warm_up = 20;
@@ -85,15 +87,27 @@
     return microseconds_of(work_queued() / std::max(1.0, std::floor(limit_)));
 }
 
+// Several mean service times, so that few requests are sent that end too late; but no more than
+// half of what a request with a short deadline has.
+duration server_queue::time_needed(const class_state& klass, duration left)
+{
+    const auto usual = microseconds_of(klass.service);
+    return std::min<duration>(microseconds_of(klass.service * time_allowed),
+                              std::max<duration>(usual, left / 2));
+}
+
 tl::expected<void, queue_refusal> server_queue::offer(instant now, const queued_request& it)
 {
     auto& klass = classes_[index_of(it.klass)];
-    const auto end = now + predicted_wait(it.klass) + microseconds_of(klass.service);
+    auto queued_it = it;
+    queued_it.needs =
+        options_.refuse_by_deadline ? time_needed(klass, it.deadline - now) : duration{0};
+    const auto end = now + predicted_wait(it.klass) + queued_it.needs;
     const bool late = options_.refuse_by_deadline && end > it.deadline;
     if (late || queued() >= options_.max_queued) {
         return tl::make_unexpected(queue_refusal{.retry_after = drain_time()});
     }
-    klass.queue.push_back(it);
+    klass.queue.push_back(queued_it);
     return {};
 }
 
@@ -150,16 +164,13 @@
 {
     std::vector<request_id> out;
     for (auto& klass : classes_) {
-        const auto latest =
-            now + (options_.refuse_by_deadline ? microseconds_of(klass.service) : duration{0});
-        const auto gone = [&](const queued_request& it) {
-            if (latest <= it.deadline) {
-                return false;
+        std::erase_if(klass.queue, [&](const queued_request& it) {
+            const bool gone = now + it.needs > it.deadline;
+            if (gone) {
+                out.push_back(it.id);
             }
-            out.push_back(it.id);
-            return true;
-        };
-        std::erase_if(klass.queue, gone);
+            return gone;
+        });
     }
     return out;
 }
--- a/tests/auto/admission/admission_test.cpp
+++ b/tests/auto/admission/admission_test.cpp
@@ -46,6 +46,13 @@
     CHECK(late.error().retry_after >= millis{90});
 }
 
+TEST_CASE("queue: a request whose deadline leaves one service time is taken by an idle server")
+{
+    server_queue queue{{.slots = 1, .first_estimate = seconds{1}}};
+    CHECK(queue.offer(at(0), request(1, request_class::bulk, 2'000'000)));
+    CHECK(queue.next(at(0)));
+}
+
 TEST_CASE("queue: bulk reads do not starve deposits")
 {
     server_queue queue{{.slots = 1, .cold_share = 1}};
