Request metrics are looked up once for each service and class

Cause: labels were joined and looked up in maps for every request. Ruled out: nothing else was changed. Change: handles are kept.

--- a/include/quincewing/host/host_task.hpp
+++ b/include/quincewing/host/host_task.hpp
@@ -10,6 +10,7 @@
 #include "quincewing/platform/platform_task.hpp"
 #include "quincewing/settings/host_settings.hpp"
 
+#include <array>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -18,6 +19,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <tuple>
 
 namespace quincewing {
 
@@ -80,11 +82,20 @@
     void end_overdue_runs(instant now);
     void close(const exchange_ptr& it);
     void count(const exchange& it);
+    struct request_metrics
+    {
+        histogram* times{};
+        std::array<std::uint64_t*, 3> by_verdict{};
+    };
+    using metrics_key = std::tuple<std::string, request_class, bool>;
+    request_metrics& metrics_for(const exchange& it);
 
     event_loop& loop_;
     host_settings settings_;
     host_id self_;
     registry metrics_;
+    /// Looked up once for each service and class, not for each request.
+    std::map<metrics_key, request_metrics> request_metrics_;
     host_core core_;
     effects effects_;
     peers_task peers_;
--- a/src/plugins/host/host_task_requests.cpp
+++ b/src/plugins/host/host_task_requests.cpp
@@ -280,16 +280,32 @@
     open_.erase(it->id);
 }
 
-void host_task::count(const exchange& it)
+host_task::request_metrics& host_task::metrics_for(const exchange& it)
 {
+    const metrics_key key{it.request.service.value, it.request.klass, it.forwarded_here};
+    const auto [found, made] = request_metrics_.try_emplace(key);
+    if (!made) {
+        return found->second;
+    }
     const registry::labels by{{"service", it.request.service.value},
                               {"class", to_string(it.request.klass)},
                               {"at", it.forwarded_here ? "leader" : "entry"}};
+    found->second.times = &metrics_.times("quincewing_request_seconds", by);
+    for (const auto verdict : {verdict::not_run, verdict::unknown, verdict::ran}) {
+        auto with_verdict = by;
+        with_verdict.emplace_back("verdict", to_string(verdict));
+        found->second.by_verdict[static_cast<std::size_t>(verdict)] =
+            &metrics_.counter("quincewing_requests_total", with_verdict);
+    }
+    return found->second;
+}
+
+void host_task::count(const exchange& it)
+{
+    auto& metrics = metrics_for(it);
     const std::chrono::duration<double> took = monotonic_now() - it.begun;
-    metrics_.times("quincewing_request_seconds", by).add(took.count());
-    auto with_verdict = by;
-    with_verdict.emplace_back("verdict", to_string(it.told));
-    ++metrics_.counter("quincewing_requests_total", with_verdict);
+    metrics.times->add(took.count());
+    ++*metrics.by_verdict[static_cast<std::size_t>(it.told)];
 }
 
 void host_task::caller_gone(const exchange_ptr& it)
