--- a/tests/failures/deposit_load.cpp
+++ b/tests/failures/deposit_load.cpp
@@ -79,6 +79,8 @@
     deposit it;
     const auto begun = now_ms();
     const auto path = "/boats/" + boat + "/deposit";
+    std::string own_answer{" "};
+    own_answer.append(path).append(" ").append(key).append("\n");
     for (int n = 0; n < most_tries && it.ran == 0; ++n) {
         auto host = hosts_[next(random) % hosts_.size()];
         while (host == out_ && hosts_.size() > 1) {
@@ -96,7 +98,7 @@
             cut_off_ += answer.refused ? 0 : 1;
         } else if (verdict == "ran") {
             ++it.ran;
-            it.wrong_answer = answer.body.find(" " + path + " " + key + "\n") == std::string::npos;
+            it.wrong_answer = answer.body.find(own_answer) == std::string::npos;
         } else if (verdict == "not_run") {
             ++it.not_run;
         } else {
@@ -136,7 +138,7 @@
         if (it.is_discarded()) {
             continue;
         }
-        if (it["kind"] == "run" && it["idempotency_key"] != "") {
+        if (it["kind"] == "run" && !it["idempotency_key"].get<std::string>().empty()) {
             ++runs[it["idempotency_key"]];
         }
     }
--- a/tests/failures/failures_test.cpp
+++ b/tests/failures/failures_test.cpp
@@ -52,7 +52,7 @@
 std::string boat_of(const process_fleet& fleet, int host, int server)
 {
     for (int n = 0; n < 400; ++n) {
-        const auto boat = "boat" + std::to_string(n);
+        auto boat = "boat" + std::to_string(n);
         const auto answer = http_call_and_wait({.method = "POST",
                                                 .address = fleet.operators(host),
                                                 .path = "/explain",
--- a/tests/failures/process_fleet.cpp
+++ b/tests/failures/process_fleet.cpp
@@ -51,6 +51,7 @@
 child_process::child_process(const std::vector<std::string>& arguments, const std::string& log)
 {
     std::vector<char*> argv;
+    argv.reserve(arguments.size() + 1);
     for (const auto& it : arguments) {
         argv.push_back(const_cast<char*>(it.c_str()));
     }
@@ -130,7 +131,7 @@
     }
 }
 
-void process_fleet::start(const std::string& name, std::vector<std::string> arguments)
+void process_fleet::start(const std::string& name, const std::vector<std::string>& arguments)
 {
     processes_.erase(name);
     processes_.emplace(name, child_process{arguments, folder_ + "/" + name + ".log"});
@@ -215,7 +216,7 @@
 std::string process_fleet::write_settings(int host) const
 {
     const int data_centre = host / layout_.hosts_each;
-    const auto path = folder_ + "/host" + std::to_string(host) + ".ini";
+    auto path = folder_ + "/host" + std::to_string(host) + ".ini";
     std::ofstream out{path};
     out << "[host]\naddress = " << at(host_ip(host), port(peers_at + host))
         << "\ncallers = " << callers(host) << "\noperators = " << operators(host)
--- a/tests/failures/process_fleet.hpp
+++ b/tests/failures/process_fleet.hpp
@@ -88,7 +88,7 @@
 private:
     [[nodiscard]] std::string host_ip(int host) const;
     [[nodiscard]] std::string write_settings(int host) const;
-    void start(const std::string& name, std::vector<std::string> arguments);
+    void start(const std::string& name, const std::vector<std::string>& arguments);
     [[nodiscard]] int port(int offset) const { return base_port_ + offset; }
 
     fleet_layout layout_;
