--- a/include/quincewing/host/host_task.hpp
+++ b/include/quincewing/host/host_task.hpp
@@ -61,7 +61,7 @@
     void sweep();
     /// Carries out what the decisions want, until nothing is left.
     void work();
-    void carry_out(effects& todo);
+    void carry_out(effects& wanted);
     backend_pool* pool_for(const server_id& server);
 
     // Requests.
--- a/src/plugins/host/host_task.cpp
+++ b/src/plugins/host/host_task.cpp
@@ -129,35 +129,36 @@
 {
     core_.flush(monotonic_now(), effects_);
     while (true) {
-        effects todo = std::move(effects_);
+        effects wanted = std::move(effects_);
         effects_ = {};
-        const bool nothing = todo.sends.empty() && todo.appends.empty() && todo.commands.empty() &&
-                             todo.dispatches.empty() && todo.answers.empty() &&
-                             todo.aborts.empty() && todo.changes.empty();
+        const bool nothing = wanted.sends.empty() && wanted.appends.empty() &&
+                             wanted.commands.empty() && wanted.dispatches.empty() &&
+                             wanted.answers.empty() && wanted.aborts.empty() &&
+                             wanted.changes.empty();
         if (nothing) {
             return;
         }
-        carry_out(todo);
+        carry_out(wanted);
         core_.flush(monotonic_now(), effects_);
     }
 }
 
-void host_task::carry_out(effects& todo)
+void host_task::carry_out(effects& wanted)
 {
-    for (const auto& it : todo.changes) {
+    for (const auto& it : wanted.changes) {
         LOG(INFO) << "change=" << it.what << " about=" << it.about << (it.detail.empty() ? "" : " ")
                   << it.detail;
         ++metrics_.counter("quincewing_changes_total", {{"what", it.what}});
     }
-    for (auto& it : todo.sends) {
+    for (auto& it : wanted.sends) {
         if (!it.to.value.empty()) {
             peers_.send(it.to, it.body);
         }
     }
-    for (auto& it : todo.appends) {
+    for (auto& it : wanted.appends) {
         platform_.append(std::move(it));
     }
-    for (const auto& it : todo.commands) {
+    for (const auto& it : wanted.commands) {
         auto* pool = pool_for(it.server);
         if (pool == nullptr) {
             continue;
@@ -168,7 +169,7 @@
                           work_timer_.soon();
                       });
     }
-    for (const auto& it : todo.dispatches) {
+    for (const auto& it : wanted.dispatches) {
         const auto found = open_.find(it.id);
         auto* pool = pool_for(it.server);
         const bool lost = found == open_.end() || pool == nullptr;
@@ -180,10 +181,10 @@
         found->second->handed_over = true;
         pool->send(found->second, it.fence);
     }
-    for (const auto& it : todo.answers) {
+    for (const auto& it : wanted.answers) {
         on_answer(it);
     }
-    for (const auto& id : todo.aborts) {
+    for (const auto& id : wanted.aborts) {
         const auto found = running_.find(id);
         if (found != running_.end()) {
             if (auto* pool = pool_for(found->second->server)) {
--- a/tests/auto/control/fleet_run.cpp
+++ b/tests/auto/control/fleet_run.cpp
@@ -332,40 +332,40 @@
         auto& it = hosts_[i];
         while (true) {
             it.core->flush(local(it), it.out);
-            auto todo = std::move(it.out);
+            auto wanted = std::move(it.out);
             it.out = {};
-            const bool nothing = todo.sends.empty() && todo.appends.empty() &&
-                                 todo.commands.empty() && todo.dispatches.empty() &&
-                                 todo.answers.empty() && todo.changes.empty();
+            const bool nothing = wanted.sends.empty() && wanted.appends.empty() &&
+                                 wanted.commands.empty() && wanted.dispatches.empty() &&
+                                 wanted.answers.empty() && wanted.changes.empty();
             if (nothing) {
                 return;
             }
-            carry_out(i, todo);
+            carry_out(i, wanted);
         }
     }
 
-    void carry_out(int i, effects& todo)
+    void carry_out(int i, effects& wanted)
     {
         auto& it = hosts_[i];
-        for (const auto& change : todo.changes) {
+        for (const auto& change : wanted.changes) {
             tell(it.id.value + " " + change.what + " " + change.about + " " + change.detail);
         }
-        for (const auto& send : todo.sends) {
+        for (const auto& send : wanted.sends) {
             deliver(i, send.to, send.body);
         }
-        for (auto& body : todo.appends) {
+        for (auto& body : wanted.appends) {
             append(i, std::move(body));
         }
-        for (const auto& command : todo.commands) {
+        for (const auto& command : wanted.commands) {
             send_command(i, command);
         }
-        for (const auto& dispatch : todo.dispatches) {
+        for (const auto& dispatch : wanted.dispatches) {
             send_request(i, dispatch);
         }
-        for (const auto& answer : todo.answers) {
+        for (const auto& answer : wanted.answers) {
             take_answer(answer);
         }
-        for (const auto& id : todo.aborts) {
+        for (const auto& id : wanted.aborts) {
             finish_later(i, id.value, {.verdict = verdict::unknown});
         }
     }
