--- /dev/null
+++ b/include/quincewing/deployment/platform_adapter.hpp
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "quincewing/deployment/deployment_api.hpp"
+
+#include <memory>
+#include <string>
+
+namespace quincewing {
+
+class call_pool;
+class event_loop;
+
+struct adapter_options
+{
+    /// "ip:port" of the platform's store.
+    std::string store;
+    /// Longest that an answer of the store is waited for.
+    duration store_timeout{millis{900}};
+};
+
+/// The calls of the users' platform. The loop must outlive the result.
+deployment_api make_platform_adapter(event_loop& loop, const adapter_options& options);
+
+} // namespace quincewing
--- /dev/null
+++ b/include/quincewing/entry/host_context.hpp
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "quincewing/deployment/deployment_api.hpp"
+#include "quincewing/deployment/deployment_view.hpp"
+#include "quincewing/entry/entry_settings.hpp"
+#include "quincewing/metrics/registry.hpp"
+#include "quincewing/net/event_loop.hpp"
+
+namespace quincewing {
+
+/// What the tasks of an entry host share.
+struct host_context
+{
+    event_loop& loop;
+    const entry_settings& settings;
+    deployment_api& platform;
+    deployment_view& view;
+    registry& metrics;
+    host_id self;
+};
+
+} // namespace quincewing
--- a/include/quincewing/exchange/response_head.hpp
+++ b/include/quincewing/exchange/response_head.hpp
@@ -1,17 +1,15 @@
 #pragma once
 
 #include "quincewing/control/effects.hpp"
+#include "quincewing/http/header_list.hpp"
 
 #include <cstdint>
 #include <optional>
 #include <string>
 #include <utility>
-#include <vector>
 
 namespace quincewing {
 
-using header_list = std::vector<std::pair<std::string, std::string>>;
-
 /// First part of an answer.
 struct response_head
 {
@@ -31,9 +29,5 @@
 std::string retry_after_seconds(duration it);
 /// The head of a final answer made here, with its body.
 std::pair<response_head, std::string> to_response(const final_answer& answer);
-/// The first header of this name, case aside; nullptr when there is none.
-const std::string* find_header(const header_list& headers, const std::string& name);
-/// Headers that concern one connection only and are not passed on.
-bool is_hop_header(const std::string& name);
 
 } // namespace quincewing
--- a/include/quincewing/net/event_loop.hpp
+++ b/include/quincewing/net/event_loop.hpp
@@ -26,7 +26,7 @@
     event_base* base_;
 };
 
-/// The process's monotonic clock.
+/// The process's monotonic clock. It goes on while the process or its machine is suspended.
 instant monotonic_now();
 timeval to_timeval(duration it);
 
@@ -39,6 +39,8 @@
     timer(const timer&) = delete;
     timer& operator=(const timer&) = delete;
 
+    /// Another function to call.
+    void set(std::function<void()> fire);
     void once(duration after);
     void every(duration period);
     /// Fires after the events that are ready now; calls before that add nothing.
--- a/include/quincewing/net/http_call.hpp
+++ b/include/quincewing/net/http_call.hpp
@@ -30,6 +30,8 @@
     std::string body;
     /// Nobody listens at the address.
     bool refused{};
+    /// Bytes of the request may have gone out.
+    bool sent{true};
 };
 
 /// One request on a connection of its own, for control traffic; done is called once.
--- a/include/quincewing/peers/peers_options.hpp
+++ b/include/quincewing/peers/peers_options.hpp
@@ -21,6 +21,8 @@
     duration silence{millis{1600}};
     duration reconnect_least{millis{20}};
     duration reconnect_most{seconds{1}};
+    /// An address that nobody answered at for this long is forgotten; zero: never.
+    duration forget_after{0};
     /// Bytes of messages that wait for a slow peer; beyond this the connection is given up.
     std::size_t max_pending{64UL * 1024 * 1024};
 };
--- a/include/quincewing/peers/peers_task.hpp
+++ b/include/quincewing/peers/peers_task.hpp
@@ -37,6 +37,10 @@
     std::function<void(const envelope&)> on_message;
     /// A link to this host stands.
     std::function<void(const host_id&, const data_centre_id&)> on_connected;
+    /// The link to this host fell; it is tried again. May be empty.
+    std::function<void(const host_id&)> on_disconnected;
+    /// This host opened a connection to here. May be empty.
+    std::function<void(const host_id&)> on_visitor;
     /// The host's process is known to be gone.
     std::function<void(const host_id&)> on_process_gone;
     /// A request forwarded by another host; its exchange is set up towards that host.
@@ -70,6 +74,8 @@
     void forward(const host_id& to, const exchange_ptr& it,
                  std::function<void(forward_failure)> failed);
     [[nodiscard]] bool connected(const host_id& host) const;
+    /// Hosts to which a link stands.
+    [[nodiscard]] std::vector<host_id> connected_hosts() const;
     [[nodiscard]] const peers_counts& counts() const { return counts_; }
 
 private:
@@ -78,6 +84,7 @@
 
     void on_accept(int fd);
     void drop_session(peer_session* it);
+    void drop_link(const std::string& address);
     void on_refused(peer_link& it);
     void on_identity(peer_link& it, const host_id& host, const data_centre_id& data_centre);
     peer_link* link_to(const host_id& host) const;
@@ -90,6 +97,7 @@
     std::map<std::string, std::unique_ptr<peer_link>> links_;
     std::vector<std::unique_ptr<peer_session>> sessions_;
     std::vector<std::unique_ptr<peer_session>> dropped_;
+    std::vector<std::unique_ptr<peer_link>> dropped_links_;
     timer drop_timer_;
     std::minstd_rand jitter_;
 };
--- a/include/quincewing/wire/messages.hpp
+++ b/include/quincewing/wire/messages.hpp
@@ -1,9 +1,12 @@
 #pragma once
 
+#include "quincewing/assignment/assignment_table.hpp"
+#include "quincewing/dispatch/work_request.hpp"
 #include "quincewing/ledger/ledger_item.hpp"
 #include "quincewing/ownership/pair_messages.hpp"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <tl/expected.hpp>
 #include <variant>
@@ -229,9 +232,209 @@
     }
 };
 
+/// Coordinator to all: what it knows, by version. Sent a few times a second.
+struct coordinator_beat
+{
+    std::uint64_t term{};
+    std::uint64_t table_revision{};
+    /// Counts the changes of which grants are in force.
+    std::uint64_t held_revision{};
+    /// Offset up to which the servers are known, and of their last change.
+    std::uint64_t servers_read{};
+    std::uint64_t servers_changed{};
+    std::uint64_t configuration{};
+    /// Microseconds since the reads behind these were sent.
+    std::uint64_t table_age{};
+    std::uint64_t servers_age{};
+    std::uint64_t configuration_age{};
+
+    template <class F>
+    void each_field(F&& f)
+    {
+        f(term);
+        f(table_revision);
+        f(held_revision);
+        f(servers_read);
+        f(servers_changed);
+        f(configuration);
+        f(table_age);
+        f(servers_age);
+        f(configuration_age);
+    }
+};
+
+/// Asks the coordinator for all that it knows.
+struct news_request
+{
+    std::uint64_t term{};
+
+    template <class F>
+    void each_field(F&& f)
+    {
+        f(term);
+    }
+};
+
+/// What changed at the coordinator; a part that is missing did not.
+struct coordinator_news
+{
+    coordinator_beat versions;
+    std::optional<assignment_table> table;
+    /// For each range of the table, whether its grant is in force.
+    std::optional<std::vector<std::uint8_t>> held;
+    std::optional<std::vector<backend_server>> servers;
+    /// The operators' configuration as the store holds it, and its key there.
+    std::optional<std::string> configuration;
+    std::string configuration_key;
+
+    template <class F>
+    void each_field(F&& f)
+    {
+        f(versions);
+        f(table);
+        f(held);
+        f(servers);
+        f(configuration);
+        f(configuration_key);
+    }
+};
+
+/// Requests for one key since the last report.
+struct key_load
+{
+    service_id service;
+    key_number key{};
+    std::uint32_t requests{};
+
+    template <class F>
+    void each_field(F&& f)
+    {
+        f(service);
+        f(key);
+        f(requests);
+    }
+};
+
+/// Time that a server took for requests since the last report, on average.
+struct server_load_report
+{
+    server_id server;
+    std::uint64_t work{};
+
+    template <class F>
+    void each_field(F&& f)
+    {
+        f(server);
+        f(work);
+    }
+};
+
+/// Any host to the coordinator.
+struct load_report
+{
+    std::vector<key_load> keys;
+    std::vector<server_load_report> servers;
+
+    template <class F>
+    void each_field(F&& f)
+    {
+        f(keys);
+        f(servers);
+    }
+};
+
+/// Asks the dispatcher of a group for a place at a server.
+struct place_request
+{
+    std::uint64_t number{};
+    work_request request;
+
+    template <class F>
+    void each_field(F&& f)
+    {
+        f(number);
+        f(request);
+    }
+};
+
+/// The dispatcher has the request and no place for it yet.
+struct place_queued
+{
+    std::uint64_t number{};
+
+    template <class F>
+    void each_field(F&& f)
+    {
+        f(number);
+    }
+};
+
+struct place_given
+{
+    std::uint64_t number{};
+    server_id server;
+
+    template <class F>
+    void each_field(F&& f)
+    {
+        f(number);
+        f(server);
+    }
+};
+
+struct place_refused
+{
+    std::uint64_t number{};
+    /// Microseconds after which room is expected.
+    std::uint64_t retry_after{};
+    std::string reason;
+
+    template <class F>
+    void each_field(F&& f)
+    {
+        f(number);
+        f(retry_after);
+        f(reason);
+    }
+};
+
+/// The place is free again, or not wanted any more.
+struct place_done
+{
+    std::uint64_t number{};
+    /// Where the request belongs, so that the dispatcher of its group is found.
+    service_id service;
+    server_id only;
+    work_report report;
+
+    template <class F>
+    void each_field(F&& f)
+    {
+        f(number);
+        f(service);
+        f(only);
+        f(report);
+    }
+};
+
+/// The sender stops soon: no new work for it.
+struct host_leaving
+{
+    bool leaving{true};
+
+    template <class F>
+    void each_field(F&& f)
+    {
+        f(leaving);
+    }
+};
+
 using message = std::variant<pair_beat, pair_ack, ledger_update, release_request, shard_release,
                              release_taken, leader_hint, heartbeat, state_request, state_reply,
-                             suspect_notice, late_answer, shard_hint>;
+                             suspect_notice, late_answer, shard_hint, coordinator_beat,
+                             news_request, coordinator_news, load_report, place_request,
+                             place_queued, place_given, place_refused, place_done,
+                             host_leaving>;
 
 /// A message between two entry hosts; dropped unless it is for this very process.
 struct envelope
--- a/src/app/serve.cpp
+++ b/src/app/serve.cpp
@@ -1,5 +1,7 @@
 #include "serve.hpp"
 
+#include "serve_entry.hpp"
+
 #include "quincewing/callers/callers_task.hpp"
 #include "quincewing/host/host_task.hpp"
 #include "quincewing/operators/operators_task.hpp"
@@ -99,6 +101,9 @@
 
 int check(const command_line& line)
 {
+    if (is_entry_settings_file(line.settings)) {
+        return check_entry(line);
+    }
     const auto settings = load(line);
     if (!settings) {
         return settings.error();
@@ -110,6 +115,9 @@
 
 int serve(const command_line& line)
 {
+    if (is_entry_settings_file(line.settings)) {
+        return serve_entry(line);
+    }
     const auto settings = load(line);
     if (!settings) {
         return settings.error();
--- /dev/null
+++ b/src/libs/assignment/assignment_table.cpp
@@ -0,0 +1,33 @@
+#include "quincewing/assignment/assignment_table.hpp"
+
+#include "quincewing/codec/codec.hpp"
+
+#include <algorithm>
+#include <tuple>
+
+namespace quincewing {
+
+const assigned_range* assignment_table::find(const service_id& service, key_number key) const
+{
+    auto it = std::upper_bound(ranges.begin(), ranges.end(), std::tie(service, key),
+                               [](const auto& wanted, const assigned_range& range) {
+                                   return wanted < std::tie(range.service, range.keys.first);
+                               });
+    if (it == ranges.begin()) {
+        return nullptr;
+    }
+    --it;
+    return it->service == service && it->keys.contains(key) ? &*it : nullptr;
+}
+
+std::string encode_table(const assignment_table& it)
+{
+    return codec::encode(it);
+}
+
+tl::expected<assignment_table, std::string> decode_table(std::string_view buf)
+{
+    return codec::decode<assignment_table>(buf);
+}
+
+} // namespace quincewing
--- /dev/null
+++ b/src/libs/assignment/coordinator.cpp
@@ -0,0 +1,516 @@
+#include "quincewing/assignment/coordinator.hpp"
+
+#include <algorithm>
+#include <tuple>
+
+namespace quincewing {
+
+coordinator::coordinator(coordinator_options options, coordinator_hooks hooks)
+    : options_(std::move(options)), hooks_(std::move(hooks))
+{
+}
+
+bool coordinator::acting(instant now) const
+{
+    const bool current = !options_.bound_by_reads || now - last_read_ < options_.read_validity;
+    return coordinating_ && current;
+}
+
+// A grant counts from its arrival, on a clock that may run slow.
+duration coordinator::stretched(duration hold) const
+{
+    return hold + std::chrono::duration_cast<duration>(hold * options_.clock_drift * 1.05);
+}
+
+// ---- the store's table
+
+void coordinator::read_now(instant now)
+{
+    if (reading_) {
+        return;
+    }
+    reading_ = true;
+    read_sent_ = now;
+    effects_.emplace_back(read_table{});
+}
+
+void coordinator::on_table_unreadable(instant)
+{
+    reading_ = false;
+}
+
+void coordinator::on_table_read(instant sent, instant now, std::optional<assignment_table> table,
+                                log_offset end)
+{
+    reading_ = false;
+    if (append_ && !append_unknown_) {
+        return;
+    }
+    // An append whose answer was lost is settled by what the stream holds. If it is not there it
+    // may still come, and then fails the next append from this offset.
+    append_.reset();
+    append_unknown_ = false;
+    end_ = end;
+    table_known_ = true;
+    const auto found = table.value_or(assignment_table{});
+    const bool own = found.coordinator == options_.self && found.term > 0;
+    if (found.term > table_.term) {
+        sign_ = now;
+    }
+    vacant_ = found.coordinator.value.empty();
+    adopt(found);
+    if (own && !coordinating_) {
+        begin_term(now);
+    } else if (!own && coordinating_) {
+        lose_term("another host holds the term");
+    }
+    if (own) {
+        last_read_ = std::max(last_read_, sent);
+        return;
+    }
+    if (term_wanted_) {
+        try_to_take_term(now);
+    }
+}
+
+void coordinator::adopt(assignment_table table)
+{
+    table_ = std::move(table);
+    std::set<std::pair<std::uint64_t, key_number>> present;
+    for (const auto& it : table_.ranges) {
+        present.insert({it.fence, it.keys.first});
+    }
+    std::erase_if(states_, [&](const auto& it) { return !present.contains(it.first); });
+}
+
+void coordinator::begin_term(instant now)
+{
+    coordinating_ = true;
+    term_wanted_ = false;
+    states_.clear();
+    hold_ends_.clear();
+    calls_.clear();
+    // The coordinator before acts for as long as its last read allows, and its last grants then
+    // last their time.
+    const auto others_act = after_clean_stop_ ? duration{0} : options_.read_validity;
+    inherited_hold_end_ =
+        now + others_act + options_.grant_timeout + stretched(options_.hold_most);
+    act_from_ = options_.wait_after_new_term ? now + others_act : now;
+    servers_since_ = now;
+    if (hooks_.on_term) {
+        hooks_.on_term("taken", table_);
+    }
+}
+
+void coordinator::lose_term(const char* why)
+{
+    coordinating_ = false;
+    states_.clear();
+    calls_.clear();
+    append_.reset();
+    append_unknown_ = false;
+    if (hooks_.on_term) {
+        hooks_.on_term(why, table_);
+    }
+}
+
+void coordinator::start_append(instant now, assignment_table next)
+{
+    append_ = std::move(next);
+    append_->revision = table_.revision + 1;
+    append_unknown_ = false;
+    read_sent_ = now;
+    effects_.emplace_back(append_table{.data = encode_table(*append_), .at = end_});
+}
+
+void coordinator::on_append(instant now, append_outcome outcome)
+{
+    if (!append_) {
+        return;
+    }
+    if (outcome == append_outcome::appended) {
+        end_.value += 1;
+        const bool mine = append_->coordinator == options_.self;
+        auto next = std::move(*append_);
+        append_.reset();
+        adopt(std::move(next));
+        last_read_ = std::max(last_read_, read_sent_);
+        if (mine && !coordinating_) {
+            begin_term(now);
+        }
+        if (!mine && hooks_.on_term) {
+            hooks_.on_term("given up in order", table_);
+        }
+        return;
+    }
+    if (outcome == append_outcome::not_done) {
+        append_.reset();
+        return;
+    }
+    append_unknown_ = true;
+    if (outcome == append_outcome::conflict) {
+        append_.reset();
+        append_unknown_ = false;
+    }
+    reading_ = false;
+    read_now(now);
+}
+
+// ---- whose term it is
+
+void coordinator::on_sign_of_coordinator(instant now, const assignment_table& table,
+                                         duration read_age)
+{
+    if (table.term < table_.term || (coordinating_ && table.term == table_.term)) {
+        return;
+    }
+    if (coordinating_) {
+        lose_term("another host's term was heard of");
+    }
+    if (!append_ && table.revision >= table_.revision) {
+        vacant_ = table.coordinator.value.empty();
+        adopt(table);
+    }
+    if (read_age < options_.read_validity) {
+        sign_ = std::max(sign_, now - read_age);
+    }
+}
+
+// Hosts try one after the other, so that a lost coordinator is not followed by a race.
+void coordinator::try_to_take_term(instant now)
+{
+    constexpr millis step{120};
+    const auto wait = vacant_ ? duration{0} : duration{options_.patience};
+    const auto turn = wait + step * std::min<std::size_t>(rank_, 10);
+    if (stopping_ || coordinating_ || append_ || now - sign_ < turn) {
+        term_wanted_ = false;
+        return;
+    }
+    auto next = table_;
+    after_clean_stop_ = next.coordinator.value.empty();
+    next.term += 1;
+    next.coordinator = options_.self;
+    term_wanted_ = false;
+    start_append(now, std::move(next));
+}
+
+void coordinator::stop(instant now)
+{
+    if (stopping_) {
+        return;
+    }
+    stopping_ = true;
+    if (acting(now) && !append_) {
+        auto next = table_;
+        settle(next);
+        next.coordinator = {};
+        coordinating_ = false;
+        start_append(now, std::move(next));
+    }
+}
+
+// ---- servers
+
+void coordinator::set_servers(instant now, const backend_servers& servers,
+                              std::set<service_id> keyed)
+{
+    if (servers_.size() != servers.size()) {
+        servers_since_ = now;
+    }
+    servers_ = servers;
+    keyed_ = std::move(keyed);
+}
+
+backend_servers coordinator::ready_servers() const
+{
+    backend_servers out;
+    for (const auto& [id, it] : servers_) {
+        if (!it.draining && keyed_.contains(it.service)) {
+            out.emplace(id, it);
+        }
+    }
+    return out;
+}
+
+instant coordinator::hold_end(const key_holder& holder) const
+{
+    auto end = inherited_hold_end_;
+    if (const auto found = hold_ends_.find(holder); found != hold_ends_.end()) {
+        end = std::max(end, found->second);
+    }
+    for (const auto& [number, call] : calls_) {
+        if (call.holder == holder) {
+            end = std::max(end, call.last_effect);
+        }
+    }
+    return end;
+}
+
+// ---- acting
+
+void coordinator::tick(instant now)
+{
+    load_.age(now);
+    const bool due = now - read_sent_ >= options_.read_every;
+    if (coordinating_) {
+        if (due && (!append_ || append_unknown_)) {
+            read_now(now);
+        }
+        if (!acting(now)) {
+            return;
+        }
+        change_table(now);
+        if (append_ && !coordinating_) {
+            return;
+        }
+        for (const auto& it : table_.ranges) {
+            drive_range(now, it);
+        }
+        return;
+    }
+    const bool silent = now - sign_ > options_.patience || vacant_ || !table_known_;
+    if (!stopping_ && silent && due && !term_wanted_ && (!append_ || append_unknown_)) {
+        term_wanted_ = table_known_ || table_.term == 0;
+        read_now(now);
+    }
+}
+
+coordinator::range_state& coordinator::state_of(const assigned_range& it)
+{
+    const auto [found, fresh] = states_.try_emplace({it.fence, it.keys.first});
+    if (fresh) {
+        found->second.proved = it.previous.none();
+    }
+    return found->second;
+}
+
+const coordinator::range_state* coordinator::find_state(const assigned_range& it) const
+{
+    const auto found = states_.find({it.fence, it.keys.first});
+    return found == states_.end() ? nullptr : &found->second;
+}
+
+bool coordinator::held(instant now, const assigned_range& range) const
+{
+    const auto* state = find_state(range);
+    return state != nullptr && now < state->held_until;
+}
+
+void coordinator::drive_range(instant now, const assigned_range& it)
+{
+    auto& state = state_of(it);
+    if (state.busy || state.needs_fence || now < state.next_call) {
+        return;
+    }
+    if (!state.proved) {
+        prove(now, it, state);
+    }
+    if (state.proved && !state.busy) {
+        grant(now, it, state);
+    }
+}
+
+// The release carries the new fence: from then on the holder refuses every grant under an older
+// one, also one that is still on its way. Silence proves nothing until the last possible grant
+// has run out.
+void coordinator::prove(instant now, const assigned_range& it, range_state& state)
+{
+    const bool lapsed = now > hold_end(it.previous);
+    if (lapsed) {
+        state.proved = true;
+        if (hooks_.on_proved) {
+            hooks_.on_proved(it, false);
+        }
+        return;
+    }
+    state.busy = true;
+    const call_number number{next_call_++};
+    calls_[number] = {.range = {it.fence, it.keys.first}};
+    effects_.emplace_back(release_keys{
+        .number = number,
+        .holder = it.previous,
+        .keys = it.keys,
+        .fence = options_.release_with_new_fence ? it.fence : it.fence - 1,
+        .timeout = options_.release_timeout});
+}
+
+void coordinator::grant(instant now, const assigned_range& it, range_state& state)
+{
+    const auto server = servers_.find(it.owner.id);
+    if (server == servers_.end() || server->second.start != it.owner.start) {
+        return;
+    }
+    const bool doubt = now - last_read_ > options_.doubt_after;
+    const auto hold = doubt ? options_.hold_in_doubt : options_.hold;
+    const call_number number{next_call_++};
+    state.busy = true;
+    calls_[number] = {.range = {it.fence, it.keys.first},
+                      .holder = it.owner,
+                      .held_until = now + hold,
+                      .last_effect = now + options_.grant_timeout + stretched(hold),
+                      .grant = true};
+    effects_.emplace_back(grant_keys{.number = number,
+                                     .holder = it.owner,
+                                     .keys = it.keys,
+                                     .fence = it.fence,
+                                     .hold = hold,
+                                     .handoff = state.handoff,
+                                     .timeout = options_.grant_timeout});
+}
+
+void coordinator::on_call(instant now, call_number number, call_outcome outcome,
+                          std::string handoff)
+{
+    const auto call = calls_.find(number);
+    if (call == calls_.end()) {
+        return;
+    }
+    const auto pending = call->second;
+    calls_.erase(call);
+    if (pending.grant && outcome != call_outcome::not_sent) {
+        auto& end = hold_ends_[pending.holder];
+        end = std::max(end, pending.last_effect);
+    }
+    const auto found = states_.find(pending.range);
+    if (found == states_.end()) {
+        return;
+    }
+    auto& state = found->second;
+    const auto range =
+        std::find_if(table_.ranges.begin(), table_.ranges.end(), [&](const auto& it) {
+            return it.fence == pending.range.first && it.keys.first == pending.range.second;
+        });
+    state.busy = false;
+    state.next_call = now + options_.call_again;
+    if (outcome == call_outcome::accepted && pending.grant) {
+        state.held_until = pending.held_until;
+        state.next_call = now + options_.renew_every;
+    } else if (outcome == call_outcome::accepted) {
+        state.proved = true;
+        state.handoff = std::move(handoff);
+        state.next_call = now;
+        if (hooks_.on_proved) {
+            hooks_.on_proved(*range, !state.handoff.empty());
+        }
+        drive_range(now, *range);
+    } else if (outcome == call_outcome::fenced && pending.grant) {
+        state.needs_fence = true;
+        if (hooks_.on_fenced) {
+            hooks_.on_fenced(*range);
+        }
+    }
+}
+
+// ---- changing the table
+
+void coordinator::change_table(instant now)
+{
+    if (append_ || stopping_ || now < act_from_) {
+        return;
+    }
+    auto next = table_;
+    const bool settled = settle(next);
+    const bool refenced = refence(next);
+    const bool moved = apply_moves(now, next);
+    if (!settled) {
+        unsettled_since_ = now;
+    }
+    // Settled moves alone wait a little, so that several go into one append.
+    constexpr millis settle_delay{500};
+    if (refenced || moved || (settled && now - unsettled_since_ > settle_delay)) {
+        start_append(now, std::move(next));
+    }
+}
+
+bool coordinator::refence(assignment_table& next)
+{
+    bool changed = false;
+    for (auto& it : next.ranges) {
+        const auto* state = find_state(it);
+        if (state == nullptr || !state->needs_fence) {
+            continue;
+        }
+        it.previous = it.owner;
+        it.fence = ++next.last_fence;
+        changed = true;
+    }
+    return changed;
+}
+
+bool coordinator::settle(assignment_table& next) const
+{
+    bool changed = false;
+    for (auto& it : next.ranges) {
+        const auto* state = find_state(it);
+        if (!it.previous.none() && state != nullptr && state->proved) {
+            it.previous = {};
+            changed = true;
+        }
+    }
+    return changed;
+}
+
+bool coordinator::apply_moves(instant now, assignment_table& next)
+{
+    if (now < next_balance_) {
+        return false;
+    }
+    next_balance_ = now + options_.balance_every;
+    const bool first = table_.ranges.empty();
+    if (first && now - servers_since_ < options_.first_spread_wait) {
+        return false;
+    }
+    const auto ready = ready_servers();
+    const auto moves =
+        plan_moves({.table = next, .ready = ready, .load = load_, .services = keyed_},
+                   options_.balance);
+    for (const auto& it : moves) {
+        apply_move(next, it);
+    }
+    std::sort(next.ranges.begin(), next.ranges.end(), [](const auto& a, const auto& b) {
+        return std::tie(a.service, a.keys.first) < std::tie(b.service, b.keys.first);
+    });
+    return !moves.empty();
+}
+
+// Cuts the keys out of the ranges that hold them now. What is left keeps owner and fence.
+void coordinator::apply_move(assignment_table& next, const planned_move& move) const
+{
+    const auto& server = servers_.at(move.to);
+    std::vector<assigned_range> out;
+    std::vector<assigned_range> taken;
+    for (const auto& it : next.ranges) {
+        const bool apart = it.service != move.service || it.keys.last < move.keys.first ||
+                           move.keys.last < it.keys.first;
+        if (apart) {
+            out.push_back(it);
+            continue;
+        }
+        if (it.keys.first < move.keys.first) {
+            out.push_back(it);
+            out.back().keys.last = static_cast<key_number>(move.keys.first - 1);
+        }
+        if (move.keys.last < it.keys.last) {
+            out.push_back(it);
+            out.back().keys.first = static_cast<key_number>(move.keys.last + 1);
+        }
+        taken.push_back(it);
+        taken.back().keys = {std::max(it.keys.first, move.keys.first),
+                             std::min(it.keys.last, move.keys.last)};
+    }
+    if (taken.empty()) {
+        taken.push_back({.service = move.service, .keys = move.keys});
+    }
+    for (auto& it : taken) {
+        it.previous = it.owner;
+        it.owner = {.id = server.id, .start = server.start, .address = server.address};
+        it.fence = ++next.last_fence;
+        if (hooks_.on_moving) {
+            hooks_.on_moving(it);
+        }
+        out.push_back(it);
+    }
+    next.ranges = std::move(out);
+}
+
+} // namespace quincewing
--- a/src/libs/control/host_core.cpp
+++ b/src/libs/control/host_core.cpp
@@ -210,7 +210,9 @@
                 for (auto& [server, agent] : agents_) {
                     agent.guard().on_notice(now, it.fingerprint, left);
                 }
-            }},
+            },
+            // Messages of entry hosts on the platform; none of them comes here.
+            [](const auto&) {}},
         body);
 }
 
--- /dev/null
+++ b/src/libs/deployment/deployment_view.cpp
@@ -0,0 +1,66 @@
+#include "quincewing/deployment/deployment_view.hpp"
+
+namespace quincewing {
+
+void deployment_view::apply_servers(const backend_servers& servers)
+{
+    servers_ = servers;
+    servers_known_ = true;
+}
+
+void deployment_view::apply_table(const assignment_table& table, std::vector<std::uint8_t> held)
+{
+    table_ = table;
+    held_ = std::move(held);
+    held_.resize(table_.ranges.size(), 1);
+}
+
+bool deployment_view::keyed(const service_id& service) const
+{
+    const auto found = routes_.current().services.find(service);
+    return found != routes_.current().services.end() && found->second.keyed;
+}
+
+std::set<service_id> deployment_view::keyed_services() const
+{
+    std::set<service_id> out;
+    for (const auto& [id, it] : routes_.current().services) {
+        if (it.keyed) {
+            out.insert(id);
+        }
+    }
+    return out;
+}
+
+key_owner deployment_view::owner_of(const service_id& service, key_number key) const
+{
+    const auto* range = table_.find(service, key);
+    if (range == nullptr) {
+        return {};
+    }
+    const auto* server = usable(range->owner.id);
+    if (server == nullptr || server->start != range->owner.start) {
+        return {};
+    }
+    const auto index = static_cast<std::size_t>(range - table_.ranges.data());
+    return {.server = range->owner.id, .held = held_[index] != 0};
+}
+
+const backend_server* deployment_view::usable(const server_id& id) const
+{
+    const auto found = servers_.find(id);
+    return found == servers_.end() || found->second.draining ? nullptr : &found->second;
+}
+
+std::vector<backend_server> deployment_view::servers_of(const service_id& service) const
+{
+    std::vector<backend_server> out;
+    for (const auto& [id, it] : servers_) {
+        if (it.service == service && !it.draining) {
+            out.push_back(it);
+        }
+    }
+    return out;
+}
+
+} // namespace quincewing
--- a/src/libs/exchange/response_head.cpp
+++ b/src/libs/exchange/response_head.cpp
@@ -1,8 +1,6 @@
 #include "quincewing/exchange/response_head.hpp"
 
 #include <algorithm>
-#include <array>
-#include <strings.h>
 
 namespace quincewing {
 
@@ -52,31 +50,4 @@
     return {std::move(head), std::move(body)};
 }
 
-const std::string* find_header(const header_list& headers, const std::string& name)
-{
-    for (const auto& [key, value] : headers) {
-        if (strcasecmp(key.c_str(), name.c_str()) == 0) {
-            return &value;
-        }
-    }
-    return nullptr;
-}
-
-bool is_hop_header(const std::string& name)
-{
-    static constexpr std::array names{"connection",
-                                      "keep-alive",
-                                      "proxy-authenticate",
-                                      "proxy-connection",
-                                      "te",
-                                      "trailer",
-                                      "transfer-encoding",
-                                      "upgrade",
-                                      "content-length",
-                                      "host",
-                                      "expect"};
-    return std::any_of(names.begin(), names.end(),
-                       [&](const char* it) { return strcasecmp(name.c_str(), it) == 0; });
-}
-
 } // namespace quincewing
--- /dev/null
+++ b/src/libs/http/client_connection.cpp
@@ -0,0 +1,265 @@
+#include "quincewing/http/client_connection.hpp"
+
+#include "quincewing/net/endpoint.hpp"
+
+#include <cerrno>
+#include <cstdlib>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace quincewing {
+
+namespace {
+
+// A reset instead of an orderly close: what still waits to be sent is dropped.
+void reset_on_close(int fd)
+{
+    const linger it{.l_onoff = 1, .l_linger = 0};
+    setsockopt(fd, SOL_SOCKET, SO_LINGER, &it, sizeof it);
+}
+
+duration keep_alive_timeout(const header_list& headers)
+{
+    const auto* value = find_header(headers, "Keep-Alive");
+    const auto at = value == nullptr ? std::string::npos : value->find("timeout=");
+    if (at == std::string::npos) {
+        return duration{0};
+    }
+    return seconds{std::strtol(value->c_str() + at + 8, nullptr, 10)};
+}
+
+} // namespace
+
+const char* to_string(connection_loss it)
+{
+    switch (it) {
+    case connection_loss::refused:
+        return "refused";
+    case connection_loss::not_connected:
+        return "not_connected";
+    case connection_loss::reset:
+        return "reset";
+    case connection_loss::closed:
+        return "closed";
+    case connection_loss::malformed:
+        return "malformed";
+    }
+    return "closed";
+}
+
+client_connection::client_connection(event_loop& loop, client_connection_options options)
+    : loop_(loop), options_(std::move(options)),
+      reader_({.kind = message_kind::response, .max_head = options_.max_head},
+              {.on_head =
+                   [this](message_head& head) {
+                       skipping_ = note_head(head) == head_use::skip;
+                       return !answer_has_body_;
+                   },
+               .on_body =
+                   [this](const char* buf, std::size_t n) {
+                       if (!skipping_ && hooks_.on_body) {
+                           hooks_.on_body(buf, n);
+                       }
+                   }}),
+      connect_timer_(loop, [this] { lose(connection_loss::not_connected); }),
+      lost_timer_(loop, [this] { lose(loss_); })
+{
+    connect();
+}
+
+client_connection::~client_connection()
+{
+    close(busy_);
+}
+
+void client_connection::connect()
+{
+    const auto to = parse_endpoint(options_.address);
+    bev_ = bufferevent_socket_new(loop_.base(), -1, BEV_OPT_CLOSE_ON_FREE);
+    bufferevent_setcb(
+        bev_, [](bufferevent*, void* arg) { static_cast<client_connection*>(arg)->on_readable(); },
+        nullptr,
+        [](bufferevent*, short what, void* arg) {
+            static_cast<client_connection*>(arg)->on_event(what);
+        },
+        this);
+    connect_timer_.once(options_.connect_timeout);
+    if (bufferevent_socket_connect_hostname(bev_, nullptr, AF_INET, to.ip.c_str(), to.port) != 0) {
+        loss_ = connection_loss::not_connected;
+        lost_timer_.soon();
+    }
+}
+
+void client_connection::on_event(short what)
+{
+    if ((what & BEV_EVENT_CONNECTED) != 0) {
+        connected_ = true;
+        connect_timer_.cancel();
+        const int on = 1;
+        const auto limit =
+            static_cast<unsigned>(options_.unacknowledged / millis{1});
+        const auto fd = bufferevent_getfd(bev_);
+        setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+        setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &limit, sizeof limit);
+        bufferevent_enable(bev_, EV_READ | EV_WRITE);
+        if (busy_) {
+            write_request();
+        }
+        return;
+    }
+    const auto error = EVUTIL_SOCKET_ERROR();
+    if (!connected_) {
+        lose(error == ECONNREFUSED || error == ECONNRESET ? connection_loss::refused
+                                                           : connection_loss::not_connected);
+        return;
+    }
+    if ((what & BEV_EVENT_EOF) != 0) {
+        on_readable();
+        if (bev_ == nullptr || !busy_) {
+            lose(connection_loss::closed);
+            return;
+        }
+        // An answer without a length ends with the connection.
+        if (reader_.inside_body() && reader_.end_of_stream() == read_result::complete) {
+            reusable_ = false;
+            take_answer();
+            return;
+        }
+        lose(connection_loss::closed);
+        return;
+    }
+    lose(connection_loss::reset);
+}
+
+void client_connection::send(const std::string& head, const std::string& body, bool answer_has_body,
+                             client_connection_hooks hooks)
+{
+    hooks_ = std::move(hooks);
+    busy_ = true;
+    sent_ = false;
+    answer_has_body_ = answer_has_body;
+    pending_ = head;
+    pending_ += body;
+    if (connected_) {
+        write_request();
+    }
+}
+
+void client_connection::write_request()
+{
+    sent_ = true;
+    if (hooks_.on_sent) {
+        hooks_.on_sent();
+    }
+    if (bev_ == nullptr) {
+        return;
+    }
+    bufferevent_write(bev_, pending_.data(), pending_.size());
+    pending_.clear();
+}
+
+head_use client_connection::note_head(message_head& head)
+{
+    if (head.status < 200) {
+        return head_use::skip;
+    }
+    reusable_ = head.keep_alive;
+    kept_for_ = keep_alive_timeout(head.headers);
+    return hooks_.on_head ? hooks_.on_head(head) : head_use::take;
+}
+
+void client_connection::on_readable()
+{
+    while (bev_ != nullptr) {
+        auto* in = bufferevent_get_input(bev_);
+        if (evbuffer_get_length(in) == 0) {
+            return;
+        }
+        if (!busy_) {
+            // Bytes that no request asked for: whatever they are, the connection is of no use.
+            lose(connection_loss::malformed);
+            return;
+        }
+        const auto result = reader_.read(in);
+        if (bev_ == nullptr || result == read_result::more) {
+            return;
+        }
+        if (result != read_result::complete) {
+            lose(connection_loss::malformed);
+            return;
+        }
+        if (!skipping_) {
+            take_answer();
+            return;
+        }
+    }
+}
+
+void client_connection::take_answer()
+{
+    busy_ = false;
+    last_answer_ = monotonic_now();
+    const bool unsent = evbuffer_get_length(bufferevent_get_output(bev_)) > 0;
+    const bool extra = evbuffer_get_length(bufferevent_get_input(bev_)) > 0;
+    const bool reusable = reusable_ && !unsent && !extra;
+    auto hooks = std::move(hooks_);
+    hooks_ = {};
+    if (!reusable) {
+        close(unsent);
+    }
+    hooks.on_end(reusable);
+}
+
+void client_connection::lose(connection_loss how)
+{
+    connect_timer_.cancel();
+    const bool was_busy = busy_;
+    close(was_busy);
+    busy_ = false;
+    auto hooks = std::move(hooks_);
+    hooks_ = {};
+    if (was_busy && hooks.on_lost) {
+        hooks.on_lost(how);
+    } else if (idle_loss_) {
+        idle_loss_();
+    }
+}
+
+void client_connection::set_reading(bool on)
+{
+    if (bev_ == nullptr) {
+        return;
+    }
+    if (on) {
+        bufferevent_enable(bev_, EV_READ);
+    } else {
+        bufferevent_disable(bev_, EV_READ);
+    }
+}
+
+void client_connection::abort()
+{
+    hooks_ = {};
+    idle_loss_ = nullptr;
+    busy_ = false;
+    connect_timer_.cancel();
+    lost_timer_.cancel();
+    close(true);
+}
+
+void client_connection::close(bool reset)
+{
+    if (bev_ == nullptr) {
+        return;
+    }
+    if (const auto fd = bufferevent_getfd(bev_); reset && fd >= 0) {
+        reset_on_close(fd);
+    }
+    bufferevent_free(bev_);
+    bev_ = nullptr;
+}
+
+} // namespace quincewing
--- /dev/null
+++ b/src/libs/http/message_head.cpp
@@ -0,0 +1,83 @@
+#include "quincewing/http/message_head.hpp"
+
+#include <algorithm>
+#include <cctype>
+
+namespace quincewing {
+
+namespace {
+
+bool is_token(std::string_view text)
+{
+    constexpr std::string_view marks = "!#$%&'*+-.^_`|~";
+    return !text.empty() && std::all_of(text.begin(), text.end(), [&](unsigned char c) {
+        return std::isalnum(c) != 0 || marks.find(static_cast<char>(c)) != std::string_view::npos;
+    });
+}
+
+bool is_field_value(std::string_view text)
+{
+    return std::none_of(text.begin(), text.end(), [](unsigned char c) {
+        return (c < 0x20 && c != '\t') || c == 0x7f;
+    });
+}
+
+bool is_request_line(std::string_view line)
+{
+    const auto first = line.find(' ');
+    const auto last = line.rfind(' ');
+    if (first == std::string_view::npos || first == last) {
+        return false;
+    }
+    const auto target = line.substr(first + 1, last - first - 1);
+    const auto version = line.substr(last + 1);
+    const bool plain = std::all_of(target.begin(), target.end(),
+                                   [](unsigned char c) { return c > 0x20 && c != 0x7f; });
+    return is_token(line.substr(0, first)) && !target.empty() && plain &&
+           (version == "HTTP/1.1" || version == "HTTP/1.0");
+}
+
+bool is_status_line(std::string_view line)
+{
+    return line.starts_with("HTTP/1.") && is_field_value(line);
+}
+
+bool is_header_line(std::string_view line)
+{
+    const auto colon = line.find(':');
+    return colon != std::string_view::npos && is_token(line.substr(0, colon)) &&
+           is_field_value(line.substr(colon + 1));
+}
+
+} // namespace
+
+// Two parsers that split a head differently let a caller hide a second request in the first
+// (request smuggling), so whatever can be read in two ways is refused.
+bool is_strict_head(std::string_view head, bool request)
+{
+    bool first = true;
+    while (!head.empty()) {
+        const auto end = head.find("\r\n");
+        if (end == std::string_view::npos) {
+            return false;
+        }
+        const auto line = head.substr(0, end);
+        head.remove_prefix(end + 2);
+        if (first) {
+            if (!(request ? is_request_line(line) : is_status_line(line))) {
+                return false;
+            }
+            first = false;
+            continue;
+        }
+        if (line.empty()) {
+            return head.empty();
+        }
+        if (!is_header_line(line)) {
+            return false;
+        }
+    }
+    return false;
+}
+
+} // namespace quincewing
--- a/src/libs/net/event_loop.cpp
+++ b/src/libs/net/event_loop.cpp
@@ -22,11 +22,12 @@
     event_base_loopbreak(base_);
 }
 
-// CLOCK_MONOTONIC goes on while the process is frozen, which leases rely on.
+// Leases rely on a clock that goes on while the process is frozen or the machine suspended;
+// CLOCK_MONOTONIC stands still in a suspension.
 instant monotonic_now()
 {
     timespec it{};
-    clock_gettime(CLOCK_MONOTONIC, &it);
+    clock_gettime(CLOCK_BOOTTIME, &it);
     return instant{duration{it.tv_sec * 1'000'000LL + it.tv_nsec / 1'000}};
 }
 
@@ -53,7 +54,9 @@
             const auto tv = to_timeval(self.period);
             event_add(&self.it, &tv);
         }
-        self.fire();
+        // The function may replace itself.
+        const auto fire = self.fire;
+        fire();
     };
     event_assign(&state_->it, loop.base(), -1, 0, call, state_.get());
 }
@@ -63,6 +66,11 @@
     event_del(&state_->it);
 }
 
+void timer::set(std::function<void()> fire)
+{
+    state_->fire = std::move(fire);
+}
+
 void timer::once(duration after)
 {
     state_->period = duration{0};
--- a/src/libs/settings/settings_file.cpp
+++ b/src/libs/settings/settings_file.cpp
@@ -267,7 +267,7 @@
     for (const auto& [section, keys] : sections_) {
         if (!known_sections_.contains(section)) {
             out.push_back({name_, section, "", "is no section that is known",
-                           "host, platform, pair, limits, service NAME or server NAME"});
+                           "a section of docs/SETTINGS.md"});
             continue;
         }
         for (const auto& [key, value] : keys) {
--- /dev/null
+++ b/src/plugins/entry/caller_connection.cpp
@@ -0,0 +1,318 @@
+#include "caller_connection.hpp"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace quincewing {
+
+namespace {
+
+constexpr int bad_request = 400;
+constexpr int request_timeout = 408;
+constexpr int body_too_large = 413;
+constexpr int head_too_large = 431;
+// Bytes of later requests that are read while the present ones are served; the end of the
+// connection is seen among them.
+constexpr std::size_t read_ahead = 64UL * 1024;
+
+void reset_on_close(int fd)
+{
+    const linger it{.l_onoff = 1, .l_linger = 0};
+    setsockopt(fd, SOL_SOCKET, SO_LINGER, &it, sizeof it);
+}
+
+} // namespace
+
+caller_connection::caller_connection(event_loop& loop, int fd, caller_connection_options options,
+                                     caller_connection_hooks hooks)
+    : loop_(loop), options_(std::move(options)), hooks_(std::move(hooks)),
+      bev_(bufferevent_socket_new(loop.base(), fd, BEV_OPT_CLOSE_ON_FREE)),
+      reader_({.kind = message_kind::request,
+               .max_head = static_cast<std::size_t>(options_.limits.head_bytes)},
+              {.on_head = [this](message_head& head) { return on_head(head); },
+               .on_body = [this](const char* buf, std::size_t n) { on_body(buf, n); }}),
+      idle_since_(monotonic_now())
+{
+    const int on = 1;
+    setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+    bufferevent_setcb(
+        bev_, [](bufferevent*, void* arg) { static_cast<caller_connection*>(arg)->on_readable(); },
+        [](bufferevent*, void* arg) {
+            auto& self = *static_cast<caller_connection*>(arg);
+            self.pump();
+            if (self.bev_ != nullptr && !self.exchanges_.empty() && self.exchanges_.front()->on_room) {
+                const auto front = self.exchanges_.front();
+                front->on_room();
+            }
+        },
+        [](bufferevent*, short what, void* arg) {
+            if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0) {
+                static_cast<caller_connection*>(arg)->over();
+            }
+        },
+        this);
+    bufferevent_enable(bev_, EV_READ | EV_WRITE);
+}
+
+caller_connection::~caller_connection()
+{
+    over();
+}
+
+// ---- requests
+
+void caller_connection::on_readable()
+{
+    while (bev_ != nullptr && !no_more_requests_) {
+        if (exchanges_.size() >= options_.overlapping) {
+            limit_reading();
+            return;
+        }
+        auto* in = bufferevent_get_input(bev_);
+        if (evbuffer_get_length(in) == 0) {
+            return;
+        }
+        if (!reader_.inside_message()) {
+            head_since_ = monotonic_now();
+        }
+        const auto result = reader_.read(in);
+        switch (result) {
+        case read_result::more:
+            return;
+        case read_result::complete:
+            on_request_end();
+            break;
+        case read_result::head_too_long:
+            reject(head_too_large);
+            return;
+        case read_result::malformed:
+            reject(bad_request);
+            return;
+        }
+    }
+    if (bev_ != nullptr && no_more_requests_) {
+        evbuffer_drain(bufferevent_get_input(bev_), evbuffer_get_length(bufferevent_get_input(bev_)));
+    }
+}
+
+void caller_connection::limit_reading()
+{
+    auto* in = bufferevent_get_input(bev_);
+    if (evbuffer_get_length(in) > read_ahead && reading_) {
+        reading_ = false;
+        bufferevent_disable(bev_, EV_READ);
+    }
+}
+
+bool caller_connection::on_head(message_head& head)
+{
+    receiving_ = std::make_shared<caller_exchange>(*this, std::move(head), monotonic_now());
+    exchanges_.push_back(receiving_);
+    const auto& it = receiving_->head;
+    const bool too_large = it.length && *it.length > options_.limits.body_bytes;
+    if (too_large) {
+        no_more_requests_ = true;
+        return true;
+    }
+    const auto* expect = find_header(it.headers, "Expect");
+    if (expect != nullptr && exchanges_.size() == 1) {
+        constexpr std::string_view go_on = "HTTP/1.1 100 Continue\r\n\r\n";
+        bufferevent_write(bev_, go_on.data(), go_on.size());
+    }
+    return false;
+}
+
+void caller_connection::on_body(const char* buf, std::size_t n)
+{
+    if (no_more_requests_) {
+        return;
+    }
+    if (receiving_->body.size() + n > options_.limits.body_bytes) {
+        no_more_requests_ = true;
+        receiving_->head.keep_alive = false;
+        receiving_->started_ = true;
+        receiving_->answer(body_too_large, {}, "body too large\n");
+        return;
+    }
+    receiving_->body.append(buf, n);
+}
+
+void caller_connection::on_request_end()
+{
+    const auto it = std::move(receiving_);
+    receiving_ = nullptr;
+    it->received_ = true;
+    if (no_more_requests_ && !it->started_) {
+        it->head.keep_alive = false;
+        it->started_ = true;
+        it->answer(body_too_large, {}, "body too large\n");
+        return;
+    }
+    if (!it->head.keep_alive) {
+        no_more_requests_ = true;
+    }
+    start_requests();
+}
+
+// Bytes that are no proper request: what follows cannot be told apart either.
+void caller_connection::reject(int status)
+{
+    no_more_requests_ = true;
+    auto it = receiving_;
+    receiving_ = nullptr;
+    if (!it) {
+        it = std::make_shared<caller_exchange>(*this, message_head{}, monotonic_now());
+        exchanges_.push_back(it);
+    }
+    it->head.keep_alive = false;
+    it->received_ = true;
+    if (!it->started_) {
+        it->started_ = true;
+        it->answer(status, {}, "request refused\n");
+    }
+}
+
+// A request that must not run twice waits for the answers before its own: if one of these closes
+// the connection, the caller sends it again.
+void caller_connection::start_requests()
+{
+    bool overlap = true;
+    for (std::size_t i = 0; i < exchanges_.size(); ++i) {
+        const auto it = exchanges_[i];
+        if (!it->received_) {
+            return;
+        }
+        const bool repeatable = hooks_.may_overlap(it->head);
+        if (!it->started_ && i > 0 && !(overlap && repeatable)) {
+            return;
+        }
+        overlap = overlap && repeatable;
+        if (it->started_) {
+            continue;
+        }
+        it->started_ = true;
+        hooks_.on_request(it);
+        if (bev_ == nullptr) {
+            return;
+        }
+    }
+}
+
+// ---- answers
+
+std::size_t caller_connection::waiting_bytes() const
+{
+    std::size_t n = bev_ == nullptr ? 0 : evbuffer_get_length(bufferevent_get_output(bev_));
+    for (const auto& it : exchanges_) {
+        n += evbuffer_get_length(it->out_);
+    }
+    return n;
+}
+
+void caller_connection::pump()
+{
+    if (bev_ == nullptr || pumping_) {
+        return;
+    }
+    pumping_ = true;
+    while (bev_ != nullptr && !exchanges_.empty()) {
+        const auto front = exchanges_.front();
+        bufferevent_write_buffer(bev_, front->out_);
+        if (!front->ended_) {
+            break;
+        }
+        finish_front();
+    }
+    pumping_ = false;
+    if (bev_ != nullptr && closing_ && exchanges_.empty() &&
+        evbuffer_get_length(bufferevent_get_output(bev_)) == 0) {
+        over();
+    }
+}
+
+void caller_connection::finish_front()
+{
+    const auto front = exchanges_.front();
+    // After an answer that broke off nothing more is sent: its missing end shows that it is not
+    // whole.
+    exchanges_.pop_front();
+    front->connection_ = nullptr;
+    idle_since_ = monotonic_now();
+    if (front->close_after_ || front->broken_ || closing_) {
+        no_more_requests_ = true;
+        closing_ = true;
+        for (const auto& it : exchanges_) {
+            it->connection_ = nullptr;
+            if (it->on_gone) {
+                it->on_gone();
+            }
+        }
+        exchanges_.clear();
+        return;
+    }
+    if (!reading_) {
+        reading_ = true;
+        bufferevent_enable(bev_, EV_READ);
+    }
+    pumping_ = false;
+    start_requests();
+    if (bev_ != nullptr) {
+        on_readable();
+    }
+    pumping_ = true;
+}
+
+// ---- end
+
+void caller_connection::close_when_idle()
+{
+    if (bev_ == nullptr) {
+        return;
+    }
+    if (idle()) {
+        over();
+    }
+}
+
+void caller_connection::check_time(instant now)
+{
+    if (bev_ == nullptr) {
+        return;
+    }
+    if (reader_.inside_message() && !reader_.inside_body()) {
+        if (exchanges_.empty() && now - head_since_ > options_.limits.head_timeout) {
+            reject(request_timeout);
+        }
+        return;
+    }
+    if (exchanges_.empty() && now - idle_since_ > options_.limits.idle_timeout) {
+        over();
+    }
+}
+
+void caller_connection::over()
+{
+    if (bev_ == nullptr) {
+        return;
+    }
+    const auto fd = bufferevent_getfd(bev_);
+    if (!exchanges_.empty() && fd >= 0) {
+        reset_on_close(fd);
+    }
+    bufferevent_free(bev_);
+    bev_ = nullptr;
+    auto left = std::move(exchanges_);
+    exchanges_.clear();
+    for (const auto& it : left) {
+        it->connection_ = nullptr;
+        if (it->on_gone) {
+            it->on_gone();
+        }
+    }
+    hooks_.on_over(this);
+}
+
+} // namespace quincewing
--- /dev/null
+++ b/src/plugins/entry/coordination_task.cpp
@@ -0,0 +1,458 @@
+#include "coordination_task.hpp"
+
+#include "quincewing/base/hash.hpp"
+#include "quincewing/logging/event_log.hpp"
+
+#include <algorithm>
+#include <variant>
+
+namespace quincewing {
+
+namespace {
+
+constexpr millis beat_period{250};
+constexpr millis report_period{250};
+// Beats that may be missing until this host reads the store by itself.
+constexpr millis beat_silence{700};
+// Knowledge of the coordinator that is older is no reason to read less.
+constexpr millis servers_too_old{1600};
+constexpr millis configuration_too_old{4000};
+constexpr millis request_pause{150};
+// The one record of the assignment stream.
+constexpr const char* table_key = "table";
+
+std::string keys_text(const key_range& it)
+{
+    return std::to_string(it.first) + "-" + std::to_string(it.last);
+}
+
+std::uint64_t micros(duration it)
+{
+    return static_cast<std::uint64_t>(std::max<duration::rep>(it.count(), 0));
+}
+
+append_outcome outcome_of(store_status it)
+{
+    switch (it) {
+    case store_status::ok:
+        return append_outcome::appended;
+    case store_status::conflict:
+        return append_outcome::conflict;
+    case store_status::not_done:
+        return append_outcome::not_done;
+    default:
+        return append_outcome::unknown;
+    }
+}
+
+coordinator_hooks make_log_hooks()
+{
+    return {.on_term =
+                [](const char* what, const assignment_table& table) {
+                    log_event("term", {{"what", what},
+                                       {"term", table.term},
+                                       {"revision", table.revision},
+                                       {"coordinator", table.coordinator.value}});
+                },
+            .on_moving =
+                [](const assigned_range& it) {
+                    log_event("keys_moving", {{"service", it.service.value},
+                                              {"keys", keys_text(it.keys)},
+                                              {"from", it.previous.id.value},
+                                              {"to", it.owner.id.value},
+                                              {"fence", it.fence}});
+                },
+            .on_proved =
+                [](const assigned_range& it, bool with_handoff) {
+                    log_event("keys_released", {{"keys", keys_text(it.keys)},
+                                                {"from", it.previous.id.value},
+                                                {"fence", it.fence},
+                                                {"proof", with_handoff ? "handoff" : "none"}});
+                },
+            .on_fenced = [](const assigned_range& it) {
+                log_event("grant_fenced", {{"keys", keys_text(it.keys)},
+                                           {"server", it.owner.id.value},
+                                           {"fence", it.fence}});
+            }};
+}
+
+} // namespace
+
+coordination_task::coordination_task(host_context context, peers_task& peers,
+                                     store_follower& follower, coordination_hooks hooks)
+    : context_(std::move(context)), peers_(peers), follower_(follower), hooks_(std::move(hooks)),
+      core_({.self = context_.self,
+             .hold_in_doubt = context_.settings.bounds.longest_hold,
+             .hold_most = context_.settings.bounds.longest_hold},
+            make_log_hooks())
+{
+}
+
+void coordination_task::tick(instant now)
+{
+    core_.set_rank(rank());
+    core_.tick(now);
+    carry_out();
+    publish_table(now);
+    if (core_.coordinating()) {
+        refresh_held(now);
+        spread_changes();
+        if (now >= next_beat_) {
+            next_beat_ = now + beat_period;
+            send_beats(now);
+        }
+    }
+    if (now >= next_report_) {
+        next_report_ = now + report_period;
+        send_report();
+    }
+    follower_.set_reading(core_.coordinating() || !hears_coordinator(now));
+}
+
+void coordination_task::stop(instant now)
+{
+    core_.stop(now);
+    carry_out();
+}
+
+bool coordination_task::hears_coordinator(instant now) const
+{
+    const auto since = now - heard_at_;
+    return since < beat_silence && duration{heard_.servers_age} + since < servers_too_old &&
+           duration{heard_.configuration_age} + since < configuration_too_old;
+}
+
+std::size_t coordination_task::rank() const
+{
+    const auto own = stable_hash(context_.self.value);
+    const auto hosts = peers_.connected_hosts();
+    return static_cast<std::size_t>(
+        std::count_if(hosts.begin(), hosts.end(),
+                      [&](const auto& it) { return stable_hash(it.value) < own; }));
+}
+
+void coordination_task::on_servers_or_configuration(instant now)
+{
+    core_.set_servers(now, context_.view.servers(), context_.view.keyed_services());
+}
+
+// ---- effects
+
+void coordination_task::carry_out()
+{
+    auto effects = core_.take_effects();
+    while (!effects.empty()) {
+        for (const auto& it : effects) {
+            std::visit([this](const auto& effect) { carry_out(effect); }, it);
+        }
+        effects = core_.take_effects();
+    }
+}
+
+void coordination_task::carry_out(const read_table&)
+{
+    const auto sent = monotonic_now();
+    context_.platform.store.newest(store_stream::assignment, [this, sent](const store_page& page) {
+        const auto now = monotonic_now();
+        if (page.status != store_status::ok) {
+            core_.on_table_unreadable(now);
+            return;
+        }
+        std::optional<assignment_table> table;
+        for (const auto& it : page.records) {
+            if (it.key != table_key || !it.value) {
+                continue;
+            }
+            if (auto decoded = decode_table(*it.value)) {
+                table = std::move(*decoded);
+            } else {
+                log_event("table_unreadable",
+                          {{"offset", it.offset.value}, {"error", decoded.error()}});
+                core_.on_table_unreadable(now);
+                return;
+            }
+        }
+        core_.on_table_read(sent, now, std::move(table), page.end);
+        carry_out();
+        publish_table(now);
+    });
+}
+
+void coordination_task::carry_out(const append_table& it)
+{
+    store_record record{.key = table_key, .value = it.data};
+    context_.platform.store.append(store_stream::assignment, std::move(record), it.at,
+                                   [this](const store_append& answer) {
+                                       const auto now = monotonic_now();
+                                       core_.on_append(now, outcome_of(answer.status));
+                                       core_.tick(now);
+                                       carry_out();
+                                       publish_table(now);
+                                       if (core_.coordinating()) {
+                                           refresh_held(now);
+                                           spread_changes();
+                                       }
+                                   });
+}
+
+void coordination_task::carry_out(const grant_keys& it)
+{
+    context_.platform.keys.grant(it, [this, it](call_outcome outcome) {
+        const auto now = monotonic_now();
+        if (outcome != call_outcome::accepted) {
+            log_event("grant_failed", {{"server", it.holder.id.value},
+                                       {"keys", keys_text(it.keys)},
+                                       {"fence", it.fence},
+                                       {"outcome", static_cast<int>(outcome)}});
+        }
+        core_.on_call(now, it.number, outcome, "");
+        refresh_held(now);
+        spread_changes();
+    });
+}
+
+void coordination_task::carry_out(const release_keys& it)
+{
+    context_.platform.keys.release(it, [this, it](call_outcome outcome, std::string handoff) {
+        const auto now = monotonic_now();
+        if (outcome != call_outcome::accepted) {
+            log_event("release_failed", {{"server", it.holder.id.value},
+                                         {"keys", keys_text(it.keys)},
+                                         {"fence", it.fence},
+                                         {"outcome", static_cast<int>(outcome)}});
+        }
+        core_.on_call(now, it.number, outcome, std::move(handoff));
+        carry_out();
+    });
+}
+
+// ---- what this host believes
+
+void coordination_task::publish_table(instant now)
+{
+    const auto& table = core_.table();
+    const bool same = published_term_ == table.term && published_table_ == table.revision;
+    if (same) {
+        return;
+    }
+    published_term_ = table.term;
+    published_table_ = table.revision;
+    held_.assign(table.ranges.size(), 1);
+    if (core_.coordinating()) {
+        refresh_held(now);
+    }
+    context_.view.apply_table(table, held_);
+    hooks_.on_table();
+}
+
+void coordination_task::refresh_held(instant now)
+{
+    if (!core_.coordinating()) {
+        return;
+    }
+    const auto& table = core_.table();
+    std::vector<std::uint8_t> next;
+    next.reserve(table.ranges.size());
+    for (const auto& it : table.ranges) {
+        next.push_back(core_.held(now, it) ? 1 : 0);
+    }
+    if (next == held_ && published_table_ == table.revision) {
+        return;
+    }
+    held_ = std::move(next);
+    ++held_revision_;
+    context_.view.apply_table(table, held_);
+    hooks_.on_table();
+}
+
+// ---- to other hosts
+
+coordinator_beat coordination_task::versions(instant now) const
+{
+    return {.term = core_.table().term,
+            .table_revision = core_.table().revision,
+            .held_revision = held_revision_,
+            .servers_read = follower_.directory().read().value,
+            .servers_changed = follower_.directory().changed().value,
+            .configuration = context_.view.routes().current().version.value,
+            .table_age = micros(now - core_.last_read()),
+            .servers_age = micros(follower_.servers_age(now)),
+            .configuration_age = micros(follower_.configuration_age(now))};
+}
+
+void coordination_task::send_beats(instant now)
+{
+    const auto beat = versions(now);
+    for (const auto& host : peers_.connected_hosts()) {
+        peers_.send(host, beat);
+    }
+}
+
+// Hosts hear of a change at once; a host that missed one asks when a beat shows it.
+void coordination_task::spread_changes()
+{
+    if (!core_.coordinating()) {
+        return;
+    }
+    const auto now = versions(monotonic_now());
+    const bool changed = now.term != spread_.term || now.table_revision != spread_.table_revision ||
+                         now.held_revision != spread_.held_revision ||
+                         now.servers_changed != spread_.servers_changed ||
+                         now.configuration != spread_.configuration;
+    if (!changed) {
+        return;
+    }
+    for (const auto& host : peers_.connected_hosts()) {
+        send_news(host, false);
+    }
+    spread_ = now;
+}
+
+void coordination_task::send_news(const host_id& to, bool all)
+{
+    coordinator_news it{.versions = versions(monotonic_now())};
+    const bool table = all || it.versions.term != spread_.term ||
+                       it.versions.table_revision != spread_.table_revision;
+    if (table) {
+        it.table = core_.table();
+    }
+    if (table || it.versions.held_revision != spread_.held_revision) {
+        it.held = held_;
+    }
+    if (all || it.versions.servers_changed != spread_.servers_changed) {
+        it.servers.emplace();
+        for (const auto& [id, server] : follower_.directory().servers()) {
+            it.servers->push_back(server);
+        }
+    }
+    const auto& record = follower_.configuration_record();
+    if (record.value && (all || it.versions.configuration != spread_.configuration)) {
+        it.configuration = record.value;
+        it.configuration_key = record.key;
+    }
+    peers_.send(to, it);
+}
+
+void coordination_task::on_host_connected(const host_id& host)
+{
+    if (core_.coordinating()) {
+        send_news(host, true);
+    }
+}
+
+void coordination_task::on_message(const host_id& from, const coordinator_beat& it)
+{
+    const auto now = monotonic_now();
+    const auto& table = core_.table();
+    if (it.term < table.term || core_.coordinating()) {
+        return;
+    }
+    heard_from_ = from;
+    heard_at_ = now;
+    const bool same_servers = it.servers_changed == follower_.directory().changed().value;
+    const bool behind = it.term != table.term || it.table_revision != table.revision ||
+                        it.held_revision != heard_.held_revision ||
+                        it.servers_changed > follower_.directory().changed().value ||
+                        it.configuration > context_.view.routes().current().version.value;
+    if (same_servers) {
+        follower_.confirm_servers(log_offset{it.servers_read});
+    }
+    const auto held = heard_.held_revision;
+    heard_ = it;
+    heard_.held_revision = held;
+    if (!behind) {
+        core_.on_sign_of_coordinator(now, table, duration{it.table_age});
+    } else if (now >= next_request_) {
+        next_request_ = now + request_pause;
+        peers_.send(from, news_request{.term = it.term});
+    }
+}
+
+void coordination_task::on_message(const host_id& from, const news_request&)
+{
+    if (core_.coordinating()) {
+        send_news(from, true);
+    }
+}
+
+void coordination_task::on_message(const host_id& from, const coordinator_news& it)
+{
+    const auto now = monotonic_now();
+    if (it.versions.term < core_.table().term) {
+        return;
+    }
+    if (it.table) {
+        core_.on_sign_of_coordinator(now, *it.table, duration{it.versions.table_age});
+        carry_out();
+    }
+    if (core_.coordinating()) {
+        return;
+    }
+    heard_from_ = from;
+    heard_at_ = now;
+    heard_ = it.versions;
+    publish_table(now);
+    const bool same_table = it.versions.table_revision == core_.table().revision &&
+                            it.versions.term == core_.table().term;
+    if (it.held && same_table && it.held->size() == core_.table().ranges.size()) {
+        held_ = *it.held;
+        context_.view.apply_table(core_.table(), held_);
+        hooks_.on_table();
+    }
+    if (it.servers) {
+        follower_.on_relayed_servers(*it.servers, log_offset{it.versions.servers_read},
+                                     log_offset{it.versions.servers_changed});
+    }
+    if (it.configuration) {
+        follower_.on_relayed_configuration(
+            {.key = it.configuration_key, .value = it.configuration});
+    }
+}
+
+// ---- load
+
+void coordination_task::note_request(const service_id& service, key_number key)
+{
+    ++requests_[{service, key}];
+}
+
+void coordination_task::note_work(const server_id& server, duration took)
+{
+    auto& sum = work_[server];
+    sum.us += micros(took);
+    ++sum.n;
+}
+
+void coordination_task::send_report()
+{
+    if (requests_.empty() && work_.empty()) {
+        return;
+    }
+    load_report out;
+    for (const auto& [key, n] : requests_) {
+        out.keys.push_back({.service = key.first, .key = key.second, .requests = n});
+    }
+    for (const auto& [server, sum] : work_) {
+        out.servers.push_back({.server = server, .work = sum.us / sum.n});
+    }
+    requests_.clear();
+    work_.clear();
+    if (core_.coordinating()) {
+        on_message(context_.self, out);
+    } else if (!heard_from_.value.empty()) {
+        peers_.send(heard_from_, out);
+    }
+}
+
+void coordination_task::on_message(const host_id&, const load_report& it)
+{
+    const auto now = monotonic_now();
+    for (const auto& key : it.keys) {
+        core_.load().add(key.service, key.key, key.requests, now);
+    }
+    for (const auto& server : it.servers) {
+        core_.load().add_work(server.server, duration{server.work});
+    }
+}
+
+} // namespace quincewing
--- /dev/null
+++ b/src/plugins/entry/entry_settings.cpp
@@ -0,0 +1,62 @@
+#include "quincewing/entry/entry_settings.hpp"
+
+namespace quincewing {
+
+namespace {
+
+const std::string section = "entry";
+const std::string bounds_section = "bounds";
+
+void need_address(settings_file& file, const std::string& key, std::string& to)
+{
+    file.require(section, key);
+    file.get_address(section, key, to);
+}
+
+deployment_bounds read_bounds(settings_file& file)
+{
+    constexpr seconds long_time{3600};
+    deployment_bounds out;
+    file.expect_section(bounds_section);
+    file.get(bounds_section, "drain", out.drain, millis{0}, long_time);
+    file.get(bounds_section, "configuration", out.configuration, millis{0}, long_time);
+    file.get(bounds_section, "grace", out.grace, millis{100}, long_time);
+    file.get(bounds_section, "repeat_window", out.repeat_window, millis{100}, long_time);
+    file.get(bounds_section, "longest_hold", out.longest_hold, millis{100}, long_time);
+    file.get(bounds_section, "repeat_share", out.repeat_share, 0.0, 100.0);
+    file.get(bounds_section, "repeat_extra", out.repeat_extra, 0.0, 1e9);
+    return out;
+}
+
+} // namespace
+
+bool has_entry_settings(const settings_file& file)
+{
+    return file.has(section);
+}
+
+tl::expected<entry_settings, std::vector<settings_error>> read_entry_settings(settings_file& file)
+{
+    entry_settings out;
+    file.expect_section(section);
+    file.require(section, "data_centre");
+    file.get(section, "name", out.name);
+    file.get(section, "data_centre", out.data_centre);
+    need_address(file, "callers", out.callers);
+    need_address(file, "readiness", out.readiness);
+    need_address(file, "peers", out.peers);
+    need_address(file, "metrics", out.metrics);
+    need_address(file, "store", out.store);
+    file.get_bytes(section, "answer_buffer", out.answer_buffer, 16UL * 1024, 64UL * 1024 * 1024);
+    file.get_bytes(section, "held_answer", out.held_answer, 0, 16UL * 1024 * 1024);
+    file.get_bytes(section, "request_body", out.request_body, 0, 64UL * 1024 * 1024);
+    file.get(section, "fresh_connection", out.fresh_connection, millis{10}, seconds{60});
+    out.bounds = read_bounds(file);
+    auto errors = file.errors();
+    if (!errors.empty()) {
+        return tl::make_unexpected(std::move(errors));
+    }
+    return out;
+}
+
+} // namespace quincewing
--- /dev/null
+++ b/src/plugins/entry/flow_services.hpp
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "quincewing/base/ids.hpp"
+#include "quincewing/assignment/assignment_table.hpp"
+#include "quincewing/dispatch/repeat_budget.hpp"
+
+#include <functional>
+#include <map>
+
+namespace quincewing {
+
+class dispatch_task;
+class server_connections;
+
+/// What the flows of all requests of a host share.
+struct flow_services
+{
+    dispatch_task& places;
+    server_connections& connections;
+    /// Entry hosts of the deployment, as far as they are known here.
+    std::function<std::size_t()> hosts;
+    /// Budgets by service.
+    std::function<repeat_budget&(const service_id&)> budget;
+    /// Usual size of a route's answers in bytes, by name of the route.
+    std::map<std::string, double> answer_sizes;
+    std::function<void(const service_id&, key_number)> note_request;
+    std::function<void(const server_id&, duration)> note_work;
+};
+
+} // namespace quincewing
--- /dev/null
+++ b/src/plugins/entry/front_task.cpp
@@ -0,0 +1,135 @@
+#include "front_task.hpp"
+
+#include "quincewing/logging/event_log.hpp"
+#include "quincewing/net/endpoint.hpp"
+
+#include <algorithm>
+#include <arpa/inet.h>
+#include <event2/listener.h>
+#include <event2/util.h>
+
+namespace quincewing {
+
+front_task::front_task(host_context context, flow_services& services)
+    : context_(std::move(context)), services_(services), drop_timer_(context_.loop, [this] {
+          dropped_.clear();
+          sweep_flows();
+      })
+{
+}
+
+front_task::~front_task()
+{
+    if (listener_ != nullptr) {
+        evconnlistener_free(listener_);
+    }
+}
+
+bool front_task::start()
+{
+    constexpr int waiting_connections = 1024;
+    const auto at = parse_endpoint(context_.settings.callers);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(at.port);
+    inet_pton(AF_INET, at.ip.c_str(), &address.sin_addr);
+    const auto accept = [](evconnlistener*, evutil_socket_t fd, sockaddr*, int, void* arg) {
+        static_cast<front_task*>(arg)->on_accept(fd);
+    };
+    listener_ = evconnlistener_new_bind(context_.loop.base(), accept, this,
+                                        LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
+                                        waiting_connections,
+                                        reinterpret_cast<sockaddr*>(&address), sizeof address);
+    return listener_ != nullptr;
+}
+
+void front_task::on_accept(int fd)
+{
+    auto limits = context_.view.routes().current().limits;
+    limits.body_bytes = std::min(limits.body_bytes, context_.settings.request_body);
+    evutil_make_socket_nonblocking(fd);
+    auto it = std::make_unique<caller_connection>(
+        context_.loop, fd,
+        caller_connection_options{.limits = limits,
+                                  .answer_buffer = context_.settings.answer_buffer},
+        caller_connection_hooks{
+            .on_request = [this](const auto& exchange) { on_request(exchange); },
+            .may_overlap = [this](const auto& head) { return may_overlap(head); },
+            .on_over = [this](caller_connection* over) { drop(over); },
+            .stopping = [this] { return stopping_; }});
+    auto* key = it.get();
+    connections_.emplace(key, std::move(it));
+}
+
+void front_task::drop(caller_connection* it)
+{
+    const auto found = connections_.find(it);
+    if (found != connections_.end()) {
+        dropped_.push_back(std::move(found->second));
+        connections_.erase(found);
+        drop_timer_.soon();
+    }
+}
+
+bool front_task::may_overlap(const message_head& head) const
+{
+    const auto* host = find_header(head.headers, "Host");
+    if (host == nullptr) {
+        return false;
+    }
+    const auto route = context_.view.routes().find(host->substr(0, host->find(':')),
+                                                   head.target.substr(0, head.target.find('?')));
+    return route && route->route.repeat == repeat_rule::repeatable;
+}
+
+void front_task::on_request(const caller_exchange_ptr& exchange)
+{
+    const auto flow = std::make_shared<request_flow>(context_, services_, exchange);
+    flows_.push_back(flow);
+    flow->start();
+    if (flow->ended()) {
+        drop_timer_.soon();
+    }
+}
+
+void front_task::sweep_flows()
+{
+    std::erase_if(flows_, [](const auto& it) { return it->ended(); });
+}
+
+void front_task::on_change()
+{
+    const auto flows = flows_;
+    for (const auto& it : flows) {
+        if (!it->ended()) {
+            it->on_change();
+        }
+    }
+}
+
+void front_task::tick(instant now)
+{
+    sweep_flows();
+    std::vector<caller_connection*> all;
+    all.reserve(connections_.size());
+    for (const auto& [key, it] : connections_) {
+        all.push_back(key);
+    }
+    for (auto* it : all) {
+        it->check_time(now);
+        if (closed_) {
+            it->close_when_idle();
+        }
+    }
+}
+
+void front_task::close()
+{
+    closed_ = true;
+    if (listener_ != nullptr) {
+        evconnlistener_free(listener_);
+        listener_ = nullptr;
+    }
+}
+
+} // namespace quincewing
--- /dev/null
+++ b/src/plugins/entry/front_task.hpp
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "caller_connection.hpp"
+#include "request_flow.hpp"
+
+#include <memory>
+#include <set>
+#include <unordered_map>
+#include <vector>
+
+struct evconnlistener;
+
+namespace quincewing {
+
+/// Listens for callers and keeps their connections and the flows of their requests.
+class front_task
+{
+public:
+    front_task(host_context context, flow_services& services);
+    ~front_task();
+    front_task(const front_task&) = delete;
+    front_task& operator=(const front_task&) = delete;
+
+    /// Returns false when the address cannot be had.
+    bool start();
+    /// Owners of keys or servers changed.
+    void on_change();
+    /// Answers end their connections from now on.
+    void set_stopping() { stopping_ = true; }
+    /// Takes no new connections, and ends those without a request.
+    void close();
+    /// No request is under way.
+    [[nodiscard]] bool idle() const { return flows_.empty(); }
+    void tick(instant now);
+    [[nodiscard]] std::size_t connections() const { return connections_.size(); }
+
+private:
+    void on_accept(int fd);
+    void on_request(const caller_exchange_ptr& exchange);
+    [[nodiscard]] bool may_overlap(const message_head& head) const;
+    void drop(caller_connection* it);
+    void sweep_flows();
+
+    host_context context_;
+    flow_services& services_;
+    evconnlistener* listener_{};
+    std::unordered_map<caller_connection*, std::unique_ptr<caller_connection>> connections_;
+    std::vector<std::unique_ptr<caller_connection>> dropped_;
+    std::vector<std::shared_ptr<request_flow>> flows_;
+    timer drop_timer_;
+    bool stopping_{};
+    bool closed_{};
+};
+
+} // namespace quincewing
--- /dev/null
+++ b/src/plugins/entry/status_server.cpp
@@ -0,0 +1,76 @@
+#include "status_server.hpp"
+
+#include "quincewing/net/endpoint.hpp"
+
+#include <event2/buffer.h>
+#include <event2/http.h>
+
+namespace quincewing {
+
+namespace {
+
+constexpr int answered_ok = 200;
+constexpr int unavailable = 503;
+
+void answer_text(evhttp_request* request, int status, const std::string& text)
+{
+    auto* buf = evbuffer_new();
+    evbuffer_add(buf, text.data(), text.size());
+    evhttp_send_reply(request, status, nullptr, buf);
+    evbuffer_free(buf);
+}
+
+} // namespace
+
+status_server::status_server(host_context context, std::function<bool()> ready,
+                             std::function<void()> before_metrics)
+    : context_(std::move(context)), ready_(std::move(ready)),
+      before_metrics_(std::move(before_metrics))
+{
+}
+
+status_server::~status_server()
+{
+    for (auto* it : {readiness_, metrics_}) {
+        if (it != nullptr) {
+            evhttp_free(it);
+        }
+    }
+}
+
+evhttp* status_server::listen(const std::string& address)
+{
+    const auto at = parse_endpoint(address);
+    auto* out = evhttp_new(context_.loop.base());
+    if (evhttp_bind_socket(out, at.ip.c_str(), at.port) != 0) {
+        evhttp_free(out);
+        return nullptr;
+    }
+    return out;
+}
+
+std::string status_server::start()
+{
+    readiness_ = listen(context_.settings.readiness);
+    if (readiness_ == nullptr) {
+        return context_.settings.readiness;
+    }
+    metrics_ = listen(context_.settings.metrics);
+    if (metrics_ == nullptr) {
+        return context_.settings.metrics;
+    }
+    const auto ready = [](evhttp_request* request, void* arg) {
+        const bool yes = static_cast<status_server*>(arg)->ready_();
+        answer_text(request, yes ? answered_ok : unavailable, yes ? "ready\n" : "not ready\n");
+    };
+    evhttp_set_cb(readiness_, context_.platform.names.readiness_path.c_str(), ready, this);
+    const auto metrics = [](evhttp_request* request, void* arg) {
+        auto& self = *static_cast<status_server*>(arg);
+        self.before_metrics_();
+        answer_text(request, answered_ok, self.context_.metrics.render());
+    };
+    evhttp_set_cb(metrics_, "/metrics", metrics, this);
+    return {};
+}
+
+} // namespace quincewing
--- a/src/plugins/peers/peer_link.cpp
+++ b/src/plugins/peers/peer_link.cpp
@@ -115,13 +115,18 @@
 {
     const bool refused = !connected_ && system_error == ECONNREFUSED;
     const bool stood = stands_;
+    const auto lost = host_;
     stands_ = false;
     host_ = {};
     messages_ = -1;
     if (refused) {
         owner_.on_refused(*this);
     }
+    if (stood && owner_.hooks_.on_disconnected) {
+        owner_.hooks_.on_disconnected(lost);
+    }
     if (stood) {
+        last_stood_ = monotonic_now();
         // The first try after a loss comes at once: a refusal then is the proof of a death.
         ++owner_.counts_.reconnects;
         reconnect_timer_.soon();
@@ -132,6 +137,11 @@
 
 void peer_link::reconnect_later()
 {
+    const auto forget = owner_.options_.forget_after;
+    if (forget > duration{0} && monotonic_now() - last_stood_ > forget) {
+        owner_.drop_link(address_);
+        return;
+    }
     backoff_ = std::min(backoff_ * 2, owner_.options_.reconnect_most);
     std::uniform_int_distribution<duration::rep> spread{backoff_.count() / 2, backoff_.count()};
     reconnect_timer_.once(duration{spread(owner_.jitter_)});
--- a/src/plugins/peers/peer_link.hpp
+++ b/src/plugins/peers/peer_link.hpp
@@ -42,6 +42,8 @@
     bool stands_{};
     bool connected_{};
     duration backoff_;
+    /// When it last stood, or when it was first wanted.
+    instant last_stood_{monotonic_now()};
     timer reconnect_timer_;
     timer silence_timer_;
 };
--- a/src/plugins/peers/peer_session.cpp
+++ b/src/plugins/peers/peer_session.cpp
@@ -37,6 +37,10 @@
     connection_->respond(it, {{":status", "200"},
                               {"qw-host", owner_.options_.self.value},
                               {"qw-data-centre", owner_.options_.data_centre.value}});
+    const auto* visitor = find_header(it.headers, "qw-host");
+    if (visitor != nullptr && owner_.hooks_.on_visitor) {
+        owner_.hooks_.on_visitor(host_id{*visitor});
+    }
     it.on_data = [this](h2_stream&, const std::uint8_t* data, std::size_t n) {
         feed_messages(data, n);
         return n;
--- a/src/plugins/peers/peers_task.cpp
+++ b/src/plugins/peers/peers_task.cpp
@@ -14,7 +14,11 @@
 
 peers_task::peers_task(event_loop& loop, peers_options options, peers_hooks hooks)
     : loop_(loop), options_(std::move(options)), hooks_(std::move(hooks)),
-      drop_timer_(loop, [this] { dropped_.clear(); }),
+      drop_timer_(loop,
+                  [this] {
+                      dropped_.clear();
+                      dropped_links_.clear();
+                  }),
       jitter_(static_cast<std::uint32_t>(stable_hash(options_.self.value)))
 {
 }
@@ -60,6 +64,16 @@
     }
 }
 
+void peers_task::drop_link(const std::string& address)
+{
+    const auto found = links_.find(address);
+    if (found != links_.end()) {
+        dropped_links_.push_back(std::move(found->second));
+        links_.erase(found);
+        drop_timer_.soon();
+    }
+}
+
 void peers_task::connect_to(const std::set<std::string>& addresses)
 {
     for (const auto& address : addresses) {
@@ -101,6 +115,17 @@
     return link_to(host) != nullptr;
 }
 
+std::vector<host_id> peers_task::connected_hosts() const
+{
+    std::vector<host_id> out;
+    for (const auto& [address, link] : links_) {
+        if (link->stands()) {
+            out.push_back(link->host());
+        }
+    }
+    return out;
+}
+
 void peers_task::send(const host_id& to, const message& body)
 {
     const envelope it{.from = options_.self, .to = to, .body = body};
