A stop goes on taking callers until the balancer has noticed, then refuses

Change: connections idle for 300 ms are closed from 2.6 s on; from 3.1 s new connections are refused and requests on open ones answered 503; the process ends when no connection is left.

--- a/src/plugins/entry/caller_connection.cpp
+++ b/src/plugins/entry/caller_connection.cpp
@@ -59,6 +59,7 @@
 
 caller_connection::~caller_connection()
 {
+    hooks_.on_over = nullptr;
     over();
 }
 
@@ -267,12 +268,10 @@
 
 // ---- end
 
-void caller_connection::close_when_idle()
+void caller_connection::close_when_idle(instant now, duration idle_for)
 {
-    if (bev_ == nullptr) {
-        return;
-    }
-    if (idle()) {
+    const bool idle = exchanges_.empty() && !reader_.inside_message();
+    if (bev_ != nullptr && idle && now - idle_since_ > idle_for) {
         over();
     }
 }
@@ -312,7 +311,9 @@
             it->on_gone();
         }
     }
-    hooks_.on_over(this);
+    if (hooks_.on_over) {
+        hooks_.on_over(this);
+    }
 }
 
 } // namespace quincewing
--- a/src/plugins/entry/caller_connection.hpp
+++ b/src/plugins/entry/caller_connection.hpp
@@ -46,11 +46,10 @@
     caller_connection(const caller_connection&) = delete;
     caller_connection& operator=(const caller_connection&) = delete;
 
-    /// Ends the connection if no request is on it; otherwise after its answers.
-    void close_when_idle();
+    /// Ends the connection if no request was on it for this long.
+    void close_when_idle(instant now, duration idle_for);
     /// Ends what was idle, or slow with its request's head, for too long.
     void check_time(instant now);
-    [[nodiscard]] bool idle() const { return exchanges_.empty() && !reader_.inside_message(); }
 
 private:
     friend class caller_exchange;
--- a/src/plugins/entry/entry_host.cpp
+++ b/src/plugins/entry/entry_host.cpp
@@ -23,8 +23,10 @@
 constexpr seconds log_period{1};
 // The balancer asks once a second and takes a host out after two misses.
 constexpr millis balancer_notice{2600};
+// Callers that were on their way when the balancer noticed arrive within this.
+constexpr millis last_callers{500};
 // Left of the grace time for the last answers to leave the socket's buffers.
-constexpr millis end_margin{500};
+constexpr millis end_margin{350};
 constexpr seconds forget_hosts_after{60};
 
 host_id new_host_id(const std::string& address)
@@ -196,10 +198,14 @@
     const auto since = now - stop_began;
     if (since >= balancer_notice && !front_closed) {
         front_closed = true;
-        front.close();
+        front.close_idle();
     }
     const bool late = since >= settings.bounds.grace - end_margin;
-    const bool done = front_closed && front.idle() && coordination.stopped() && record_removed;
+    const bool quiet = since >= balancer_notice + last_callers;
+    if (quiet) {
+        front.refuse_new();
+    }
+    const bool done = quiet && front.idle() && coordination.stopped() && record_removed;
     if ((done || late) && on_stopped) {
         log_event("stopped", {{"host", self.value}, {"whole", done ? "yes" : "no"}});
         std::exchange(on_stopped, nullptr)();
--- a/src/plugins/entry/front_task.cpp
+++ b/src/plugins/entry/front_task.cpp
@@ -10,6 +10,14 @@
 
 namespace quincewing {
 
+namespace {
+
+// A connection that carried nothing for this long is unlikely to have a request on its way.
+constexpr millis idle_before_close{300};
+constexpr int unavailable = 503;
+
+} // namespace
+
 front_task::front_task(host_context context, flow_services& services)
     : context_(std::move(context)), services_(services), drop_timer_(context_.loop, [this] {
           dropped_.clear();
@@ -84,6 +92,11 @@
 
 void front_task::on_request(const caller_exchange_ptr& exchange)
 {
+    if (refusing_) {
+        // There is no time left to serve it whole; another host takes it.
+        exchange->answer(unavailable, {{"Retry-After", "0"}}, "not run\n");
+        return;
+    }
     const auto flow = std::make_shared<request_flow>(context_, services_, exchange);
     flows_.push_back(flow);
     flow->start();
@@ -117,15 +130,21 @@
     }
     for (auto* it : all) {
         it->check_time(now);
-        if (closed_) {
-            it->close_when_idle();
+        if (closing_) {
+            it->close_when_idle(now, idle_before_close);
         }
     }
 }
 
-void front_task::close()
+// Connections are still taken: one that the balancer chose before it noticed has to be served.
+void front_task::close_idle()
+{
+    closing_ = true;
+}
+
+void front_task::refuse_new()
 {
-    closed_ = true;
+    refusing_ = true;
     if (listener_ != nullptr) {
         evconnlistener_free(listener_);
         listener_ = nullptr;
--- a/src/plugins/entry/front_task.hpp
+++ b/src/plugins/entry/front_task.hpp
@@ -27,10 +27,12 @@
     void on_change();
     /// Answers end their connections from now on.
     void set_stopping() { stopping_ = true; }
-    /// Takes no new connections, and ends those without a request.
-    void close();
-    /// No request is under way.
-    [[nodiscard]] bool idle() const { return flows_.empty(); }
+    /// Ends the connections that are without a request for a while.
+    void close_idle();
+    /// Takes no new connections; requests on open ones are refused.
+    void refuse_new();
+    /// No request is under way and no connection is open.
+    [[nodiscard]] bool idle() const { return flows_.empty() && connections_.empty(); }
     void tick(instant now);
     [[nodiscard]] std::size_t connections() const { return connections_.size(); }
 
@@ -49,7 +51,8 @@
     std::vector<std::shared_ptr<request_flow>> flows_;
     timer drop_timer_;
     bool stopping_{};
-    bool closed_{};
+    bool closing_{};
+    bool refusing_{};
 };
 
 } // namespace quincewing
