--- a/src/libs/dispatch/dispatcher.cpp
+++ b/src/libs/dispatch/dispatcher.cpp
@@ -46,8 +46,12 @@
     if (found == queue_.end()) {
         return;
     }
+    // Whoever would wait until its answer is late takes a place that another could use in time.
     const auto wait = expected_wait(now, *found);
-    if (now + wait + usual_work(*found) > found->end) {
+    const auto late = std::chrono::duration_cast<duration>((found->end - found->objective) *
+                                                           options_.late_share);
+    const auto latest = std::max(found->objective, now + usual_work(*found)) + late;
+    if (now + wait + usual_work(*found) > std::min(latest, found->end)) {
         const auto back = std::clamp<duration>(wait, options_.come_back_least,
                                                options_.come_back_most);
         const auto turned = *found;
