Keys are free as soon as it is known that their holder has ended

Ruled out: lost appends (none in the log), slow hosts. Change: another start of the id or another server at the address proves the end, once a release got nowhere; what the coordinator told of grants in force counts for the next one; the coordinator is silent when its beats stop or its reads are older than 1.5 s.

--- a/include/quincewing/assignment/coordinator.hpp
+++ b/include/quincewing/assignment/coordinator.hpp
@@ -27,6 +27,8 @@
     /// A read that shows the own term lets the coordinator act for so long after it was sent.
     duration read_validity{millis{2500}};
     duration read_every{millis{800}};
+    /// Hosts take the coordinator for silent when its last read is older than this.
+    duration sign_validity{millis{1500}};
     /// A read older than this puts the store in doubt.
     duration doubt_after{millis{1300}};
     duration grant_timeout{millis{800}};
@@ -74,6 +76,8 @@
     void on_sign_of_coordinator(instant now, const assignment_table& table, duration read_age);
     /// Announced servers, keyed services.
     void set_servers(instant now, const backend_servers& servers, std::set<service_id> keyed);
+    /// Another coordinator had the proof that the range's previous holder has it no more.
+    void note_proved(const assigned_range& range);
     /// Position among the hosts that may take the term, 0 first.
     void set_rank(std::size_t rank) { rank_ = rank; }
     /// No new term for this host, and the present one is given up in order.
@@ -132,6 +136,7 @@
     bool refence(assignment_table& next);
     [[nodiscard]] backend_servers ready_servers() const;
     [[nodiscard]] instant hold_end(const key_holder& holder) const;
+    [[nodiscard]] bool replaced(const key_holder& holder) const;
     [[nodiscard]] duration stretched(duration hold) const;
 
     coordinator_options options_;
@@ -161,6 +166,8 @@
     std::uint64_t next_call_{1};
     std::map<call_number, pending_call> calls_;
     std::map<std::pair<std::uint64_t, key_number>, range_state> states_;
+    /// Ranges, by fence and first key, whose previous holder is known to have them no more.
+    std::set<std::pair<std::uint64_t, key_number>> known_proved_;
     std::map<key_holder, instant> hold_ends_;
     backend_servers servers_;
     std::set<service_id> keyed_;
--- a/src/libs/assignment/coordinator.cpp
+++ b/src/libs/assignment/coordinator.cpp
@@ -81,6 +81,7 @@
         present.insert({it.fence, it.keys.first});
     }
     std::erase_if(states_, [&](const auto& it) { return !present.contains(it.first); });
+    std::erase_if(known_proved_, [&](const auto& it) { return !present.contains(it); });
 }
 
 void coordinator::begin_term(instant now)
@@ -171,8 +172,9 @@
         vacant_ = table.coordinator.value.empty();
         adopt(table);
     }
-    if (read_age < options_.read_validity) {
-        sign_ = std::max(sign_, now - read_age);
+    // One that cannot read the store any more will have to stop: it is silent for this purpose.
+    if (read_age < options_.sign_validity) {
+        sign_ = now;
     }
 }
 
@@ -275,11 +277,27 @@
     }
 }
 
+void coordinator::note_proved(const assigned_range& range)
+{
+    known_proved_.insert({range.fence, range.keys.first});
+}
+
+// Another start under the same id, or another server at the same address: this start has ended.
+bool coordinator::replaced(const key_holder& holder) const
+{
+    return std::any_of(servers_.begin(), servers_.end(), [&](const auto& it) {
+        const bool same_id = it.first == holder.id;
+        const bool same_address = it.second.address == holder.address;
+        return (same_id && it.second.start != holder.start) || (same_address && !same_id);
+    });
+}
+
 coordinator::range_state& coordinator::state_of(const assigned_range& it)
 {
     const auto [found, fresh] = states_.try_emplace({it.fence, it.keys.first});
     if (fresh) {
-        found->second.proved = it.previous.none();
+        found->second.proved =
+            it.previous.none() || known_proved_.contains({it.fence, it.keys.first});
     }
     return found->second;
 }
@@ -385,7 +403,7 @@
     if (outcome == call_outcome::accepted && pending.grant) {
         state.held_until = pending.held_until;
         state.next_call = now + options_.renew_every;
-    } else if (outcome == call_outcome::accepted) {
+    } else if (!pending.grant && (outcome == call_outcome::accepted || replaced(range->previous))) {
         state.proved = true;
         state.handoff = std::move(handoff);
         state.next_call = now;
--- a/src/plugins/entry/coordination_task.cpp
+++ b/src/plugins/entry/coordination_task.cpp
@@ -396,6 +396,11 @@
                             it.versions.term == core_.table().term;
     if (it.held && same_table && it.held->size() == core_.table().ranges.size()) {
         held_ = *it.held;
+        for (std::size_t i = 0; i < held_.size(); ++i) {
+            if (held_[i] != 0) {
+                core_.note_proved(core_.table().ranges[i]);
+            }
+        }
         context_.view.apply_table(core_.table(), held_);
         hooks_.on_table();
     }
--- /dev/null
+++ b/tests/auto/assignment/coordinator_test.cpp
@@ -0,0 +1,203 @@
+#include "quincewing/assignment/coordinator.hpp"
+
+#include <doctest/doctest.h>
+#include <variant>
+
+using namespace quincewing;
+
+namespace {
+
+const service_id keyed{"vesitila"};
+
+/// One coordinator against a store that answers at once and servers that the test plays.
+struct fixture
+{
+    explicit fixture(const char* name = "h1", coordinator_options options = {})
+        : it([&] {
+              options.self = host_id{name};
+              return options;
+          }(),
+             {})
+    {
+    }
+
+    void add_server(const char* id, std::uint64_t start = 1, const char* address = nullptr)
+    {
+        backend_server server{.id = server_id{id},
+                              .start = server_start{start},
+                              .address = address == nullptr ? id : address,
+                              .service = keyed,
+                              .data_centre = data_centre_id{"puumala"},
+                              .slots = 2};
+        servers[server.id] = server;
+        it.set_servers(now, servers, {keyed});
+    }
+    void remove_server(const char* id)
+    {
+        servers.erase(server_id{id});
+        it.set_servers(now, servers, {keyed});
+    }
+    void answer_store()
+    {
+        for (auto& effect : it.take_effects()) {
+            if (std::holds_alternative<read_table>(effect)) {
+                it.on_table_read(now, now, stored, log_offset{end});
+            } else if (const auto* append = std::get_if<append_table>(&effect)) {
+                const bool fits = append->at.value == end;
+                if (fits) {
+                    stored = decode_table(append->data).value();
+                    ++end;
+                }
+                it.on_append(now, fits ? append_outcome::appended : append_outcome::conflict);
+            } else if (const auto* grant = std::get_if<grant_keys>(&effect)) {
+                grants.push_back(*grant);
+                it.on_call(now, grant->number, on_grant(*grant), "");
+            } else if (const auto* release = std::get_if<release_keys>(&effect)) {
+                releases.push_back(*release);
+                it.on_call(now, release->number, on_release(*release), "token");
+            }
+        }
+    }
+    void run(duration time)
+    {
+        const auto until = now + time;
+        while (now < until) {
+            now += millis{50};
+            it.tick(now);
+            for (int i = 0; i < 4; ++i) {
+                answer_store();
+            }
+        }
+    }
+    bool all_held() const
+    {
+        return !it.table().ranges.empty() &&
+               std::all_of(it.table().ranges.begin(), it.table().ranges.end(),
+                           [&](const auto& range) { return it.held(now, range); });
+    }
+
+    instant now{seconds{1000}};
+    std::optional<assignment_table> stored;
+    std::uint64_t end{};
+    backend_servers servers;
+    std::vector<grant_keys> grants;
+    std::vector<release_keys> releases;
+    std::function<call_outcome(const grant_keys&)> on_grant = [](const auto&) {
+        return call_outcome::accepted;
+    };
+    std::function<call_outcome(const release_keys&)> on_release = [](const auto&) {
+        return call_outcome::accepted;
+    };
+    coordinator it;
+};
+
+} // namespace
+
+TEST_CASE("coordinator: takes the term and grants all keys once")
+{
+    fixture f;
+    f.add_server("s1");
+    f.add_server("s2");
+    f.run(seconds{6});
+    CHECK(f.it.coordinating());
+    CHECK(f.it.table().ranges.size() == 2);
+    CHECK(f.all_held());
+}
+
+TEST_CASE("coordinator: another host leaves the term to a coordinator whose reads are in time")
+{
+    fixture f{"h2"};
+    const coordinator_options options;
+    f.stored = assignment_table{.term = 1, .revision = 1, .coordinator = host_id{"h1"}};
+    f.end = 1;
+    f.run(millis{100});
+    // A beat every 250 ms, each with a read that is as old as reads get between two.
+    for (int i = 0; i < 40; ++i) {
+        f.it.on_sign_of_coordinator(f.now, *f.stored, options.read_every + millis{100});
+        f.run(millis{250});
+    }
+    CHECK_FALSE(f.it.coordinating());
+    CHECK(f.stored->term == 1);
+}
+
+TEST_CASE("coordinator: a silent coordinator is followed by another host")
+{
+    fixture f{"h2"};
+    f.stored = assignment_table{.term = 1, .revision = 1, .coordinator = host_id{"h1"}};
+    f.end = 1;
+    f.run(seconds{3});
+    CHECK(f.it.coordinating());
+    CHECK(f.stored->term == 2);
+}
+
+TEST_CASE("coordinator: keys of a server whose address another one has are free at once")
+{
+    fixture f;
+    f.add_server("s1", 1, "10.0.0.1:80");
+    f.add_server("s2", 1, "10.0.0.2:80");
+    f.run(seconds{6});
+    REQUIRE(f.all_held());
+    // The process at the address knows nothing of keys.
+    f.on_grant = [](const auto& call) {
+        return call.holder.id.value == "s1" ? call_outcome::not_sent : call_outcome::accepted;
+    };
+    f.on_release = [](const auto&) { return call_outcome::rejected; };
+    f.servers[server_id{"k1"}] = {.id = server_id{"k1"},
+                                  .start = server_start{1},
+                                  .address = "10.0.0.1:80",
+                                  .service = service_id{"kassa"}};
+    f.remove_server("s1");
+    f.run(millis{700});
+    CHECK(f.all_held());
+}
+
+TEST_CASE("coordinator: a new one takes over what is known of moves that had ended")
+{
+    fixture f{"h2"};
+    f.add_server("s2");
+    f.stored = assignment_table{
+        .term = 1,
+        .revision = 5,
+        .coordinator = host_id{"h1"},
+        .last_fence = 7,
+        .ranges = {{.service = keyed,
+                    .keys = {0, 65535},
+                    .owner = {.id = server_id{"s2"}, .start = server_start{1}, .address = "s2"},
+                    .fence = 7,
+                    .previous = {.id = server_id{"s1"}, .start = server_start{1},
+                                 .address = "s1"}}}};
+    f.end = 5;
+    f.on_release = [](const auto&) { return call_outcome::not_sent; };
+    f.it.on_sign_of_coordinator(f.now, *f.stored, millis{100});
+    f.it.note_proved(f.stored->ranges[0]);
+    f.run(seconds{3});
+    CHECK(f.it.coordinating());
+    CHECK(f.all_held());
+    CHECK(f.releases.empty());
+}
+
+TEST_CASE("coordinator: a server that lived on is not passed over before its grant is over")
+{
+    fixture f;
+    f.add_server("s1");
+    f.add_server("s2");
+    f.run(seconds{6});
+    REQUIRE(f.all_held());
+    const auto last = f.now;
+    f.on_grant = [](const auto& call) {
+        return call.holder.id.value == "s1" ? call_outcome::not_sent : call_outcome::accepted;
+    };
+    f.on_release = [](const auto&) { return call_outcome::unknown; };
+    f.remove_server("s1");
+    f.grants.clear();
+    const coordinator_options options;
+    while (f.now < last + options.hold - options.renew_every) {
+        f.run(millis{50});
+        for (const auto& grant : f.grants) {
+            const bool was_of_s1 = grant.fence > 2;
+            CHECK_FALSE(was_of_s1);
+        }
+    }
+    f.run(options.hold + seconds{2});
+    CHECK(f.all_held());
+}
