Balance: pieces on both sides of a hot key, load remembered for 1.5 s

Cause: one key gets 40% of a service's requests (28/s where a server does 13/s). Change: a plan weighs the whole range and what lies before and after the key; a server that is stuck is passed over; load is remembered for 1.5 s.

--- a/include/quincewing/assignment/balance_planner.hpp
+++ b/include/quincewing/assignment/balance_planner.hpp
@@ -14,6 +14,8 @@
     double busy{0.7};
     /// and busier than the one that would take the keys by at least this.
     double gap{0.35};
+    /// A move has to make the busier server less busy by this share of its slots.
+    double least_gain{0.08};
     /// Standard errors by which a rate must stand out before it is believed.
     double certainty{2.0};
     /// Moves of one plan: each one stops its keys for about one request's time.
--- a/include/quincewing/assignment/load_map.hpp
+++ b/include/quincewing/assignment/load_map.hpp
@@ -12,7 +12,7 @@
 {
 public:
     /// Older requests count less: by half after about two thirds of this time.
-    explicit load_map(duration memory = seconds{3}) : memory_(memory) {}
+    explicit load_map(duration memory = millis{1500}) : memory_(memory) {}
 
     void add(const service_id& service, key_number key, double requests, instant now);
     /// A server finished a request after this time of work.
--- a/src/libs/assignment/balance_planner.cpp
+++ b/src/libs/assignment/balance_planner.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <map>
+#include <set>
 
 namespace quincewing {
 
@@ -174,7 +175,7 @@
     {
         const auto seen = input_.load.rate(service_, keys);
         if (seen < options_.assumed_rate * keys.size() / key_count) {
-            const auto share = rate / std::max(rate_of(keys), 1e-9);
+            const auto share = std::min(1.0, rate / std::max(rate_of(keys), 1e-9));
             return static_cast<key_number>(keys.first +
                                            std::max(0.0, share * keys.size() - 1));
         }
@@ -191,51 +192,103 @@
                 continue;
             }
             auto& from = most_busy();
-            relieve(from, it, from.rate / 2);
+            move_best(from, it, from.rate / 2);
         }
     }
 
+    // The busiest first. One that has nothing to give away, because a single key is most of its
+    // load, does not keep the others from being relieved.
     void relieve_busy_servers()
     {
+        std::set<server_id> stuck;
         while (moves_.size() < options_.most_moves &&
                range_count_ < options_.ranges_per_server * servers_.size()) {
-            auto& from = most_busy();
-            auto& to = least_busy();
-            const auto error = from.busy() / std::sqrt(std::max(from.samples, 1.0));
-            const bool sure = from.busy() - options_.certainty * error > options_.busy;
-            if (!sure || from.busy() - to.busy() < options_.gap) {
+            auto* from = busiest_except(stuck);
+            if (from == nullptr || !too_busy(*from)) {
                 return;
             }
-            if (!relieve(from, to, (from.busy() - to.busy()) / (from.cost + to.cost))) {
-                return;
+            auto& to = least_busy();
+            const auto gap = from->busy() - to.busy();
+            if (gap < options_.gap || !move_best(*from, to, gap / (from->cost + to.cost))) {
+                stuck.insert(from->server->id);
             }
         }
     }
 
-    /// Moves a piece of about this rate; false when there is none to move.
-    bool relieve(server_load& from, server_load& to, double rate)
+    server_load* busiest_except(const std::set<server_id>& left_out)
     {
-        const auto hottest = std::max_element(
-            from.ranges.begin(), from.ranges.end(),
-            [&](auto a, auto b) { return rate_of(a) < rate_of(b); });
-        if (hottest == from.ranges.end() || hottest->size() < 2) {
-            return false;
+        server_load* best = nullptr;
+        for (auto& [id, it] : servers_) {
+            if (!left_out.contains(id) && (best == nullptr || it.busy() > best->busy())) {
+                best = &it;
+            }
+        }
+        return best;
+    }
+
+    [[nodiscard]] bool too_busy(const server_load& it) const
+    {
+        const auto error = it.busy() / std::sqrt(std::max(it.samples, 1.0));
+        return it.busy() - options_.certainty * error > options_.busy;
+    }
+
+    /// Parts of a range that could go: all of it, and what lies before and after the key at which
+    /// about this rate is reached.
+    [[nodiscard]] std::vector<key_range> pieces_of(key_range whole, double rate) const
+    {
+        std::vector<key_range> out{whole};
+        const auto cut = split_at(whole, rate);
+        if (cut < whole.last) {
+            out.push_back({whole.first, cut});
+            out.push_back({static_cast<key_number>(cut + 1), whole.last});
         }
-        const auto whole = *hottest;
-        auto cut = split_at(whole, rate);
-        cut = std::min<key_number>(cut, static_cast<key_number>(whole.last - 1));
-        const key_range piece{whole.first, cut};
-        const auto moved = rate_of(piece);
-        const bool helps = to.busy() + moved * to.cost < from.busy();
-        if (!helps) {
+        if (cut > whole.first) {
+            out.push_back({whole.first, static_cast<key_number>(cut - 1)});
+            out.push_back({cut, whole.last});
+        }
+        return out;
+    }
+
+    /// Moves the piece after which the busier of the two servers is least busy; false when none
+    /// helps enough to be worth the pause of its keys.
+    bool move_best(server_load& from, server_load& to, double rate)
+    {
+        auto best = from.busy() - options_.least_gain;
+        auto best_range = from.ranges.end();
+        key_range best_piece;
+        for (auto range = from.ranges.begin(); range != from.ranges.end(); ++range) {
+            for (const auto& piece : pieces_of(*range, rate)) {
+                const auto moved = rate_of(piece);
+                const auto after =
+                    std::max((from.rate - moved) * from.cost, (to.rate + moved) * to.cost);
+                if (after < best) {
+                    best = after;
+                    best_range = range;
+                    best_piece = piece;
+                }
+            }
+        }
+        if (best_range == from.ranges.end()) {
             return false;
         }
-        hottest->first = static_cast<key_number>(cut + 1);
-        from.rate -= moved;
+        take_piece(from, best_range, best_piece);
+        give(best_piece, to);
+        return true;
+    }
+
+    void take_piece(server_load& from, std::vector<key_range>::iterator range, key_range piece)
+    {
+        const auto whole = *range;
+        from.ranges.erase(range);
+        if (whole.first < piece.first) {
+            from.ranges.push_back({whole.first, static_cast<key_number>(piece.first - 1)});
+        }
+        if (piece.last < whole.last) {
+            from.ranges.push_back({static_cast<key_number>(piece.last + 1), whole.last});
+        }
+        from.rate -= rate_of(piece);
         from.samples = std::max(0.0, from.samples - input_.load.samples(service_, piece));
-        give(piece, to);
         ++range_count_;
-        return true;
     }
 
     const balance_input& input_;
