Where there is not room for all, the kind of requests that fell behind goes next

Ruled out: placement (route-pack on its own servers is served to 0.99). Change: the dispatcher keeps the served share of each kind; the lowest goes first, and a more urgent kind leads by 0.04 a rank. Kinds are told apart by objective, timeout, urgency and repeat rule.

--- a/include/quincewing/dispatch/dispatcher.hpp
+++ b/include/quincewing/dispatch/dispatcher.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "quincewing/dispatch/kind_shares.hpp"
 #include "quincewing/dispatch/server_estimate.hpp"
 #include "quincewing/routing/backend_server.hpp"
 
@@ -7,6 +8,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -109,12 +111,16 @@
     [[nodiscard]] duration expected_wait(instant now, const waiting_request& it) const;
     [[nodiscard]] duration usual_work(const waiting_request& it) const;
     [[nodiscard]] bool fits(const server_state& it, const waiting_request& request) const;
-    void place(const waiting_request& it, server_state& server);
+    /// Order in the queue: the least goes first.
+    [[nodiscard]] std::tuple<double, bool, instant> rank(instant now,
+                                                         const waiting_request& it) const;
+    void place(instant now, const waiting_request& it, server_state& server);
     void refuse(const waiting_request& it, duration retry_after, const char* reason);
     void serve_queue(instant now);
     void release(const server_id& server);
 
     dispatcher_options options_;
+    kind_shares shares_;
     std::map<server_id, server_state> servers_;
     std::vector<waiting_request> queue_;
     std::map<work_ticket, placed_request> placed_;
--- a/include/quincewing/dispatch/work_request.hpp
+++ b/include/quincewing/dispatch/work_request.hpp
@@ -35,6 +35,8 @@
     data_centre_id data_centre;
     /// 0 is the most urgent.
     std::uint32_t priority{};
+    /// Tells kinds of requests apart that compete for the same servers.
+    std::uint64_t kind{};
     /// Microseconds until an answer loses part of its use; may be over.
     std::int64_t objective_left{};
     /// Microseconds until an answer is of no use.
@@ -53,6 +55,7 @@
         f(objective_left);
         f(time_left);
         f(answer_bytes);
+        f(kind);
     }
 };
 
--- a/src/libs/dispatch/dispatcher.cpp
+++ b/src/libs/dispatch/dispatcher.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <tuple>
 
 namespace quincewing {
 
@@ -32,6 +31,7 @@
                        .end = {}};
     it.objective = now + duration{it.request.objective_left};
     it.end = now + duration{it.request.time_left};
+    shares_.on_asked(now, it.request.kind);
     const bool any = std::any_of(servers_.begin(), servers_.end(), [&](const auto& server) {
         return fits(server.second, it) && !server.second.estimate.resting(now);
     });
@@ -212,18 +212,25 @@
     if (ends_per_us <= 0) {
         return options_.estimate.rest_least;
     }
+    const auto own = rank(now, it);
     const auto ahead = std::count_if(queue_.begin(), queue_.end(), [&](const auto& other) {
-        const bool same = other.request.only == it.request.only &&
-                          other.request.service == it.request.service;
-        const bool first = std::tie(other.request.priority, other.objective) <=
-                           std::tie(it.request.priority, it.objective);
-        return same && first && other.ticket != it.ticket;
+        return other.ticket != it.ticket && rank(now, other) <= own;
     });
     return duration{std::llround(static_cast<double>(ahead + 1) / ends_per_us)};
 }
 
-void dispatcher::place(const waiting_request& it, server_state& server)
+// The kind that fell behind first; within it whoever can still be in time, the tightest first;
+// then whoever is late already.
+std::tuple<double, bool, instant> dispatcher::rank(instant now, const waiting_request& it) const
 {
+    const bool late = now + usual_work(it) > it.objective;
+    return {shares_.standing(it.request.kind, it.request.priority), late,
+            late ? it.end : it.objective};
+}
+
+void dispatcher::place(instant now, const waiting_request& it, server_state& server)
+{
+    shares_.on_served(now, it.request.kind);
     ++server.in_use;
     placed_[it.ticket] = {.server = server.server.id, .end = it.end};
     decisions_.places.push_back({.ticket = it.ticket, .server = server.server.id});
@@ -235,16 +242,13 @@
         {.ticket = it.ticket, .retry_after = retry_after, .reason = reason});
 }
 
-// The most urgent first; among these whoever can still be in time, the tightest first; then
-// whoever is late already.
 void dispatcher::serve_queue(instant now)
 {
-    const auto rank = [&](const waiting_request& it) {
-        const bool late = now + usual_work(it) > it.objective;
-        return std::tuple{it.request.priority, late, late ? it.end : it.objective};
-    };
+    if (queue_.empty()) {
+        return;
+    }
     std::stable_sort(queue_.begin(), queue_.end(),
-                     [&](const auto& a, const auto& b) { return rank(a) < rank(b); });
+                     [&](const auto& a, const auto& b) { return rank(now, a) < rank(now, b); });
     for (auto it = queue_.begin(); it != queue_.end();) {
         const auto need = usual_work(*it) * options_.least_time_share;
         if (now + std::chrono::duration_cast<duration>(need) > it->end) {
@@ -253,7 +257,7 @@
             continue;
         }
         if (auto* server = choose(now, *it)) {
-            place(*it, *server);
+            place(now, *it, *server);
             it = queue_.erase(it);
             continue;
         }
--- a/src/plugins/entry/request_flow.cpp
+++ b/src/plugins/entry/request_flow.cpp
@@ -57,6 +57,16 @@
     to.waiting = static_cast<std::int32_t>(std::strtol(rest + 1, nullptr, 10));
 }
 
+// Routes of one kind agree in what they ask of the servers; there may be very many routes.
+std::uint64_t kind_of(const route& it)
+{
+    constexpr std::uint64_t step = 1'000'003;
+    const auto objective = static_cast<std::uint64_t>(it.latency_objective / millis{1});
+    const auto timeout = static_cast<std::uint64_t>(it.timeout / millis{1});
+    return ((objective * step + timeout) * step + it.priority) * 2 +
+           (it.repeat == repeat_rule::run_once ? 1 : 0);
+}
+
 std::string host_without_port(const std::string& host)
 {
     return host.substr(0, host.find(':'));
@@ -172,6 +182,7 @@
         .avoid = {tried_.begin(), tried_.end()},
         .data_centre = data_centre_id{context_.settings.data_centre},
         .priority = route_->route.priority,
+        .kind = kind_of(route_->route),
         .objective_left =
             (exchange_->arrived + route_->route.latency_objective - now).count(),
         .time_left = (end_ - now).count(),
