--- a/include/quincewing/assignment/coordinator.hpp
+++ b/include/quincewing/assignment/coordinator.hpp
@@ -136,7 +136,7 @@
     bool refence(assignment_table& next);
     [[nodiscard]] backend_servers ready_servers() const;
     [[nodiscard]] instant hold_end(const key_holder& holder) const;
-    [[nodiscard]] bool replaced(const key_holder& holder) const;
+    [[nodiscard]] bool proves_end(const assigned_range& range, call_outcome outcome) const;
     [[nodiscard]] duration stretched(duration hold) const;
 
     coordinator_options options_;
--- a/src/libs/assignment/coordinator.cpp
+++ b/src/libs/assignment/coordinator.cpp
@@ -93,10 +93,11 @@
     calls_.clear();
     // The coordinator before acts for as long as its last read allows, and its last grants then
     // last their time.
-    const auto others_act = after_clean_stop_ ? duration{0} : options_.read_validity;
+    const bool wait = options_.wait_after_new_term && !after_clean_stop_;
+    const auto others_act = wait ? options_.read_validity : duration{0};
     inherited_hold_end_ =
         now + others_act + options_.grant_timeout + stretched(options_.hold_most);
-    act_from_ = options_.wait_after_new_term ? now + others_act : now;
+    act_from_ = now + others_act;
     servers_since_ = now;
     if (hooks_.on_term) {
         hooks_.on_term("taken", table_);
@@ -282,14 +283,20 @@
     known_proved_.insert({range.fence, range.keys.first});
 }
 
-// Another start under the same id, or another server at the same address: this start has ended.
-bool coordinator::replaced(const key_holder& holder) const
+// Whoever took the release refuses older fences from now on. A process that knows nothing of keys
+// answers at the address of a server of another service: then the holder has ended. That the
+// holder started anew proves nothing by itself: a grant may have reached the new start since.
+bool coordinator::proves_end(const assigned_range& range, call_outcome outcome) const
 {
-    return std::any_of(servers_.begin(), servers_.end(), [&](const auto& it) {
-        const bool same_id = it.first == holder.id;
-        const bool same_address = it.second.address == holder.address;
-        return (same_id && it.second.start != holder.start) || (same_address && !same_id);
-    });
+    if (outcome == call_outcome::accepted) {
+        return true;
+    }
+    const bool other_service =
+        std::any_of(servers_.begin(), servers_.end(), [&](const auto& it) {
+            return it.second.address == range.previous.address &&
+                   it.second.service != range.service;
+        });
+    return outcome == call_outcome::rejected && other_service;
 }
 
 coordinator::range_state& coordinator::state_of(const assigned_range& it)
@@ -403,7 +410,7 @@
     if (outcome == call_outcome::accepted && pending.grant) {
         state.held_until = pending.held_until;
         state.next_call = now + options_.renew_every;
-    } else if (!pending.grant && (outcome == call_outcome::accepted || replaced(range->previous))) {
+    } else if (!pending.grant && proves_end(*range, outcome)) {
         state.proved = true;
         state.handoff = std::move(handoff);
         state.next_call = now;
--- a/tests/auto/assignment/coordinator_test.cpp
+++ b/tests/auto/assignment/coordinator_test.cpp
@@ -201,3 +201,65 @@
     f.run(options.hold + seconds{2});
     CHECK(f.all_held());
 }
+
+namespace {
+
+/// Time from the start of a term that follows a silent coordinator to the first grant of keys
+/// whose holder the new coordinator cannot reach.
+duration time_to_pass_over(const coordinator_options& options)
+{
+    fixture f{"h2", options};
+    f.add_server("s2");
+    const key_holder lost{.id = server_id{"s1"}, .start = server_start{1}, .address = "s1"};
+    f.stored = assignment_table{
+        .term = 1,
+        .revision = 5,
+        .coordinator = host_id{"h1"},
+        .last_fence = 7,
+        .ranges = {{.service = keyed, .keys = {0, 65535}, .owner = lost, .fence = 7}}};
+    f.end = 5;
+    f.on_release = [](const auto&) { return call_outcome::not_sent; };
+    while (!f.it.coordinating()) {
+        f.run(millis{50});
+    }
+    const auto term = f.now;
+    while (f.grants.empty()) {
+        f.run(millis{50});
+    }
+    return f.now - term;
+}
+
+} // namespace
+
+TEST_CASE("coordinator: keys of a silent holder wait until the coordinator before can have no grant")
+{
+    const coordinator_options options;
+    // The one before may have read its own term just before this one began, act for as long as
+    // that allows, and give a last grant of the greatest length on a slow clock.
+    const auto least = options.read_validity + options.hold_most * 102 / 100;
+    CHECK(time_to_pass_over(options) >= least);
+}
+
+TEST_CASE("coordinator mutation: no wait for the coordinator before is too early")
+{
+    const coordinator_options whole;
+    auto options = whole;
+    options.wait_after_new_term = false;
+    const auto least = whole.read_validity + whole.hold_most * 102 / 100;
+    CHECK(time_to_pass_over(options) < least);
+}
+
+TEST_CASE("coordinator: one that was suspended sends nothing on the strength of old reads")
+{
+    fixture f;
+    f.add_server("s1");
+    f.run(seconds{6});
+    REQUIRE(f.all_held());
+    f.grants.clear();
+    f.now += seconds{5};
+    f.it.tick(f.now);
+    for (const auto& effect : f.it.take_effects()) {
+        CHECK_FALSE(std::holds_alternative<grant_keys>(effect));
+        CHECK_FALSE(std::holds_alternative<release_keys>(effect));
+    }
+}
