Ranges that one server holds next to each other merge; moves go on at once after a new term

After a change of the coordinator nothing moved for 2.5 s, while a hot key stood at 337%. Ruled out: releases that fail (each proved within 150 ms), appends in flight. Change: neighbours of one owner join under a new fence when the table changes anyway; up to 10 ranges a server; the wait after a new term holds for what lapses, not for moves that the holder itself confirms under the new fence. A line 'balance' a second tells how busy the servers are.

--- a/include/quincewing/assignment/balance_planner.hpp
+++ b/include/quincewing/assignment/balance_planner.hpp
@@ -21,7 +21,7 @@
     /// Moves of one plan: each one stops its keys for about one request's time.
     std::size_t most_moves{8};
     /// Ranges for each server, at most; each is renewed by a call of its own.
-    std::size_t ranges_per_server{6};
+    std::size_t ranges_per_server{10};
     /// Pieces into which the keys of a lost server are divided.
     std::size_t pieces{4};
     /// Requests a second on all keys of a service that are assumed beside what was seen, so that
@@ -49,6 +49,17 @@
     const std::set<service_id>& services;
 };
 
+/// Share of a server's slots that its keys keep busy; above 1 it is asked for more than it can do.
+struct server_busy
+{
+    server_id server;
+    double busy{};
+};
+
+/// How busy the keys of a service keep its servers, as the planner sees it; the busiest first.
+std::vector<server_busy> busy_servers(const balance_input& input, const balance_options& options,
+                                      const service_id& service);
+
 /// Decides which keys move: those that nobody holds, those of servers that left or leave, and hot
 /// ones off overloaded servers. Ranges that are still moving stay as they are.
 std::vector<planned_move> plan_moves(const balance_input& input, const balance_options& options);
--- a/include/quincewing/assignment/coordinator.hpp
+++ b/include/quincewing/assignment/coordinator.hpp
@@ -93,6 +93,8 @@
     [[nodiscard]] const assignment_table& table() const { return table_; }
     /// The keys were granted to their owner and the grant is not over.
     [[nodiscard]] bool held(instant now, const assigned_range& range) const;
+    /// How busy the servers of a keyed service are; the busiest first.
+    [[nodiscard]] std::vector<server_busy> busy(const service_id& service) const;
     [[nodiscard]] load_map& load() { return load_; }
     /// Since when the own term is in force, or the last read of the store.
     [[nodiscard]] instant last_read() const { return last_read_; }
@@ -132,6 +134,7 @@
     void change_table(instant now);
     bool apply_moves(instant now, assignment_table& next);
     void apply_move(assignment_table& next, const planned_move& move) const;
+    static void merge(assignment_table& next);
     bool settle(assignment_table& next) const;
     bool refence(assignment_table& next);
     [[nodiscard]] backend_servers ready_servers() const;
@@ -158,7 +161,6 @@
     instant last_read_{};
     instant sign_{};
     instant inherited_hold_end_{};
-    instant act_from_{};
     instant next_balance_{};
     instant servers_since_{};
     instant unsettled_since_{};
--- a/src/libs/assignment/balance_planner.cpp
+++ b/src/libs/assignment/balance_planner.cpp
@@ -49,6 +49,17 @@
         return std::move(moves_);
     }
 
+    [[nodiscard]] std::vector<server_busy> busy() const
+    {
+        std::vector<server_busy> out;
+        for (const auto& [id, it] : servers_) {
+            out.push_back({.server = id, .busy = it.busy()});
+        }
+        std::sort(out.begin(), out.end(),
+                  [](const auto& a, const auto& b) { return a.busy > b.busy; });
+        return out;
+    }
+
 private:
     void collect_servers()
     {
@@ -303,6 +314,12 @@
 
 } // namespace
 
+std::vector<server_busy> busy_servers(const balance_input& input, const balance_options& options,
+                                      const service_id& service)
+{
+    return service_plan{input, options, service}.busy();
+}
+
 std::vector<planned_move> plan_moves(const balance_input& input, const balance_options& options)
 {
     std::vector<planned_move> out;
--- a/src/libs/assignment/coordinator.cpp
+++ b/src/libs/assignment/coordinator.cpp
@@ -97,7 +97,6 @@
     const auto others_act = wait ? options_.read_validity : duration{0};
     inherited_hold_end_ =
         now + others_act + options_.grant_timeout + stretched(options_.hold_most);
-    act_from_ = now + others_act;
     servers_since_ = now;
     if (hooks_.on_term) {
         hooks_.on_term("taken", table_);
@@ -235,6 +234,13 @@
     return out;
 }
 
+std::vector<server_busy> coordinator::busy(const service_id& service) const
+{
+    const auto ready = ready_servers();
+    return busy_servers({.table = table_, .ready = ready, .load = load_, .services = keyed_},
+                        options_.balance, service);
+}
+
 instant coordinator::hold_end(const key_holder& holder) const
 {
     auto end = inherited_hold_end_;
@@ -430,7 +436,7 @@
 
 void coordinator::change_table(instant now)
 {
-    if (append_ || stopping_ || now < act_from_) {
+    if (append_ || stopping_) {
         return;
     }
     auto next = table_;
@@ -442,6 +448,9 @@
     }
     // Settled moves alone wait a little, so that several go into one append.
     constexpr millis settle_delay{500};
+    if (moved) {
+        merge(next);
+    }
     if (refenced || moved || (settled && now - unsettled_since_ > settle_delay)) {
         start_append(now, std::move(next));
     }
@@ -462,6 +471,26 @@
     return changed;
 }
 
+// Neighbours that one server holds become one range: each range costs a call for every renewal.
+// The server has the keys already, so that a new fence is all it takes.
+void coordinator::merge(assignment_table& next)
+{
+    std::vector<assigned_range> out;
+    for (const auto& it : next.ranges) {
+        const bool joins = !out.empty() && out.back().service == it.service &&
+                           out.back().owner == it.owner &&
+                           std::uint32_t{out.back().keys.last} + 1 == it.keys.first &&
+                           out.back().previous.none() && it.previous.none();
+        if (!joins) {
+            out.push_back(it);
+            continue;
+        }
+        out.back().keys.last = it.keys.last;
+        out.back().fence = ++next.last_fence;
+    }
+    next.ranges = std::move(out);
+}
+
 bool coordinator::settle(assignment_table& next) const
 {
     bool changed = false;
--- a/src/plugins/entry/coordination_task.cpp
+++ b/src/plugins/entry/coordination_task.cpp
@@ -12,6 +12,7 @@
 
 constexpr millis beat_period{250};
 constexpr millis report_period{250};
+constexpr seconds balance_log_period{1};
 // Beats that may be missing until this host reads the store by itself.
 constexpr millis beat_silence{700};
 // Knowledge of the coordinator that is older is no reason to read less.
@@ -102,6 +103,7 @@
             send_beats(now);
         }
     }
+    log_balance(now);
     if (now >= next_report_) {
         next_report_ = now + report_period;
         send_report();
@@ -428,6 +430,27 @@
     ++sum.n;
 }
 
+void coordination_task::log_balance(instant now)
+{
+    if (!core_.coordinating() || now < next_balance_log_) {
+        return;
+    }
+    next_balance_log_ = now + balance_log_period;
+    for (const auto& service : context_.view.keyed_services()) {
+        const auto servers = core_.busy(service);
+        if (servers.empty()) {
+            continue;
+        }
+        const auto percent = [](double it) { return static_cast<int>(it * 100); };
+        log_event("balance", {{"service", service.value},
+                              {"busiest", servers.front().server.value},
+                              {"busiest_percent", percent(servers.front().busy)},
+                              {"median_percent", percent(servers[servers.size() / 2].busy)},
+                              {"least_percent", percent(servers.back().busy)},
+                              {"ranges", core_.table().ranges.size()}});
+    }
+}
+
 void coordination_task::send_report()
 {
     if (requests_.empty() && work_.empty()) {
--- a/src/plugins/entry/coordination_task.hpp
+++ b/src/plugins/entry/coordination_task.hpp
@@ -60,6 +60,7 @@
     void send_news(const host_id& to, bool all);
     void spread_changes();
     void send_report();
+    void log_balance(instant now);
     [[nodiscard]] std::size_t rank() const;
 
     host_context context_;
@@ -75,6 +76,7 @@
     coordinator_beat spread_;
     instant next_beat_{};
     instant next_report_{};
+    instant next_balance_log_{};
     /// What the coordinator told last, and when.
     coordinator_beat heard_;
     host_id heard_from_;
--- a/tests/auto/assignment/coordinator_test.cpp
+++ b/tests/auto/assignment/coordinator_test.cpp
@@ -263,3 +263,23 @@
         CHECK_FALSE(std::holds_alternative<release_keys>(effect));
     }
 }
+
+TEST_CASE("coordinator: neighbours that came to one server become one range")
+{
+    fixture f;
+    f.add_server("s1");
+    f.add_server("s2");
+    f.run(seconds{6});
+    REQUIRE(f.it.table().ranges.size() == 2);
+    f.remove_server("s2");
+    f.run(seconds{2});
+    CHECK(f.it.table().ranges.size() > 1);
+    f.add_server("s3");
+    f.run(seconds{3});
+    f.remove_server("s3");
+    f.run(seconds{3});
+    f.add_server("s4");
+    f.run(seconds{3});
+    CHECK(f.all_held());
+    CHECK(f.it.table().ranges.size() <= 4);
+}
