A new fence after a gap in renewals; reads that were overtaken are passed over

Change: a grant under the same fence needs a confirmed one 1.5 s before; otherwise, and for every range of a new term, the fence is new. Ranges that are cut, joined or refenced stay in force. A read that ends before the known end is passed over. The dispatcher admits what is expected within 0.85 of its objective.

--- a/include/quincewing/assignment/coordinator.hpp
+++ b/include/quincewing/assignment/coordinator.hpp
@@ -24,6 +24,9 @@
     /// A server's clock may run slow by this share.
     double clock_drift{0.02};
     duration renew_every{seconds{1}};
+    /// After this without a confirmed renewal the keys are granted under a new fence: a server
+    /// that ended takes longer to start anew.
+    duration renewal_gap{millis{1500}};
     /// A read that shows the own term lets the coordinator act for so long after it was sent.
     duration read_validity{millis{2500}};
     duration read_every{millis{800}};
@@ -106,6 +109,9 @@
         bool proved{};
         bool busy{};
         bool needs_fence{};
+        /// A grant under the present fence was sent; when one was last confirmed, or first sent.
+        bool sent{};
+        instant confirmed{};
         std::string handoff;
         instant next_call{};
         instant held_until{};
@@ -114,6 +120,7 @@
     {
         std::pair<std::uint64_t, key_number> range;
         key_holder holder;
+        instant sent{};
         instant held_until{};
         /// The grant is over by then, wherever its bytes were.
         instant last_effect{};
@@ -124,6 +131,7 @@
     [[nodiscard]] const range_state* find_state(const assigned_range& it) const;
     void read_now(instant now);
     void adopt(assignment_table table);
+    void carry_over(const assignment_table& next);
     void begin_term(instant now);
     void lose_term(const char* why);
     void start_append(instant now, assignment_table next);
--- a/include/quincewing/dispatch/dispatcher.hpp
+++ b/include/quincewing/dispatch/dispatcher.hpp
@@ -26,9 +26,9 @@
     duration near_per_mib{millis{1100}};
     /// A request is refused when less than this share of the usual time of work would be left.
     double least_time_share{1.0};
-    /// A request that has to wait is refused when its answer would come later than its objective
-    /// and this share of the time after it.
-    double late_share{0.25};
+    /// A request that has to wait is refused when its answer is expected later than this share of
+    /// its objective: work takes longer than usual about as often as shorter.
+    double objective_share{0.85};
     /// Places whose end nobody reported are taken back after the request's time and this.
     duration forget_after{seconds{1}};
     /// Bounds of the time after which a refused request is told to come back.
--- a/src/libs/assignment/coordinator.cpp
+++ b/src/libs/assignment/coordinator.cpp
@@ -46,6 +46,10 @@
     if (append_ && !append_unknown_) {
         return;
     }
+    // An answer that was overtaken by the own append: what is known is newer.
+    if (table_known_ && end < end_) {
+        return;
+    }
     // An append whose answer was lost is settled by what the stream holds. If it is not there it
     // may still come, and then fails the next append from this offset.
     append_.reset();
@@ -75,6 +79,7 @@
 
 void coordinator::adopt(assignment_table table)
 {
+    carry_over(table);
     table_ = std::move(table);
     std::set<std::pair<std::uint64_t, key_number>> present;
     for (const auto& it : table_.ranges) {
@@ -84,6 +89,38 @@
     std::erase_if(known_proved_, [&](const auto& it) { return !present.contains(it); });
 }
 
+// A range that was cut, joined or given a new fence stays in force at its owner: the grants of the
+// ranges that it is made of have not ended.
+void coordinator::carry_over(const assignment_table& next)
+{
+    for (const auto& it : next.ranges) {
+        if (!it.previous.none() || find_state(it) != nullptr) {
+            continue;
+        }
+        std::uint32_t covered = 0;
+        range_state merged{.proved = true, .held_until = instant::max()};
+        for (const auto& old : table_.ranges) {
+            const auto* state = find_state(old);
+            const bool apart = old.service != it.service || old.keys.last < it.keys.first ||
+                               it.keys.last < old.keys.first;
+            if (apart || old.owner != it.owner || state == nullptr) {
+                continue;
+            }
+            const key_range common{std::max(old.keys.first, it.keys.first),
+                                   std::min(old.keys.last, it.keys.last)};
+            covered += common.size();
+            merged.held_until = std::min(merged.held_until, state->held_until);
+            if (old.fence == it.fence && state->sent) {
+                merged.sent = true;
+                merged.confirmed = state->confirmed;
+            }
+        }
+        if (covered == it.keys.size()) {
+            states_[{it.fence, it.keys.first}] = merged;
+        }
+    }
+}
+
 void coordinator::begin_term(instant now)
 {
     coordinating_ = true;
@@ -192,6 +229,14 @@
     after_clean_stop_ = next.coordinator.value.empty();
     next.term += 1;
     next.coordinator = options_.self;
+    // A server may have started anew since the entries were read: a new start must not be granted
+    // keys under a fence that the one before had.
+    for (auto& it : next.ranges) {
+        if (known_proved_.contains({it.fence, it.keys.first})) {
+            it.previous = {};
+        }
+        it.fence = ++next.last_fence;
+    }
     term_wanted_ = false;
     start_append(now, std::move(next));
 }
@@ -371,12 +416,20 @@
     if (server == servers_.end() || server->second.start != it.owner.start) {
         return;
     }
+    if (state.sent && now - state.confirmed > options_.renewal_gap) {
+        // Whoever answers at the address may be another start, which the store shows later.
+        state.needs_fence = true;
+        return;
+    }
+    state.confirmed = state.sent ? state.confirmed : now;
+    state.sent = true;
     const bool doubt = now - last_read_ > options_.doubt_after;
     const auto hold = doubt ? options_.hold_in_doubt : options_.hold;
     const call_number number{next_call_++};
     state.busy = true;
     calls_[number] = {.range = {it.fence, it.keys.first},
                       .holder = it.owner,
+                      .sent = now,
                       .held_until = now + hold,
                       .last_effect = now + options_.grant_timeout + stretched(hold),
                       .grant = true};
@@ -415,6 +468,8 @@
     state.next_call = now + options_.call_again;
     if (outcome == call_outcome::accepted && pending.grant) {
         state.held_until = pending.held_until;
+        // Its answer may have waited for this host to go on.
+        state.confirmed = pending.sent;
         state.next_call = now + options_.renew_every;
     } else if (!pending.grant && proves_end(*range, outcome)) {
         state.proved = true;
@@ -464,7 +519,8 @@
         if (state == nullptr || !state->needs_fence) {
             continue;
         }
-        it.previous = it.owner;
+        // Only one process is at the owner's address. Whoever it is, it may have the keys under
+        // a fence that is new, and refuses what is still on its way under the old one.
         it.fence = ++next.last_fence;
         changed = true;
     }
--- a/src/libs/dispatch/dispatcher.cpp
+++ b/src/libs/dispatch/dispatcher.cpp
@@ -48,9 +48,9 @@
     }
     // Whoever would wait until its answer is late takes a place that another could use in time.
     const auto wait = expected_wait(now, *found);
-    const auto late = std::chrono::duration_cast<duration>((found->end - found->objective) *
-                                                           options_.late_share);
-    const auto latest = std::max(found->objective, now + usual_work(*found)) + late;
+    const auto in_time = std::chrono::duration_cast<duration>((found->objective - now) *
+                                                              options_.objective_share);
+    const auto latest = now + std::max(in_time, usual_work(*found));
     if (now + wait + usual_work(*found) > std::min(latest, found->end)) {
         const auto back = std::clamp<duration>(wait, options_.come_back_least,
                                                options_.come_back_most);
--- a/tests/auto/assignment/coordinator_test.cpp
+++ b/tests/auto/assignment/coordinator_test.cpp
@@ -283,3 +283,25 @@
     CHECK(f.all_held());
     CHECK(f.it.table().ranges.size() <= 4);
 }
+
+TEST_CASE("coordinator: a server that could not be reached is granted its keys under a new fence")
+{
+    fixture f;
+    f.add_server("s1");
+    f.run(seconds{6});
+    REQUIRE(f.all_held());
+    const auto before = f.grants.back().fence;
+    f.on_grant = [](const auto&) { return call_outcome::not_sent; };
+    f.on_release = [](const auto&) { return call_outcome::not_sent; };
+    f.run(seconds{2});
+    // Another process may answer at the address now; its entry comes later.
+    f.grants.clear();
+    f.on_grant = [](const auto&) { return call_outcome::accepted; };
+    f.on_release = [](const auto&) { return call_outcome::accepted; };
+    f.run(seconds{1});
+    REQUIRE_FALSE(f.grants.empty());
+    for (const auto& grant : f.grants) {
+        CHECK(grant.fence > before);
+    }
+    CHECK(f.all_held());
+}
