--- a/include/quincewing/dispatch/dispatcher.hpp
+++ b/include/quincewing/dispatch/dispatcher.hpp
@@ -28,7 +28,7 @@
     double least_time_share{1.0};
     /// A request that has to wait is refused when its answer is expected later than this share of
     /// its objective: work takes longer than usual about as often as shorter.
-    double objective_share{0.85};
+    double objective_share{1.0};
     /// Places whose end nobody reported are taken back after the request's time and this.
     duration forget_after{seconds{1}};
     /// Bounds of the time after which a refused request is told to come back.
