--- a/include/quincewing/http/call_pool.hpp
+++ b/include/quincewing/http/call_pool.hpp
@@ -52,7 +52,7 @@
 
     void start_waiting(const std::string& address);
     void start(slot& it, waiting_call call);
-    void finish(slot& it, http_answer answer, bool keep);
+    void finish(slot& it, const http_answer& answer, bool keep);
     void sweep();
 
     event_loop& loop_;
--- a/src/libs/assignment/balance_planner.cpp
+++ b/src/libs/assignment/balance_planner.cpp
@@ -85,8 +85,8 @@
             }
             first_time_ = false;
             if (it.keys.first > next) {
-                orphans_.push_back({static_cast<key_number>(next),
-                                    static_cast<key_number>(it.keys.first - 1)});
+                orphans_.push_back(
+                    {static_cast<key_number>(next), static_cast<key_number>(it.keys.first - 1)});
             }
             next = std::uint32_t{it.keys.last} + 1;
             take_range(it);
@@ -99,8 +99,7 @@
     void take_range(const assigned_range& it)
     {
         const auto found = servers_.find(it.owner.id);
-        const bool owned =
-            found != servers_.end() && found->second.server->start == it.owner.start;
+        const bool owned = found != servers_.end() && found->second.server->start == it.owner.start;
         const bool moving = !it.previous.none();
         if (owned) {
             found->second.rate += rate_of(it.keys);
@@ -131,10 +130,10 @@
             done += it.server->slots;
             const auto end = static_cast<std::uint32_t>(std::llround(done / slots * key_count));
             if (end > first) {
-                moves_.push_back({service_,
-                                  {static_cast<key_number>(first),
-                                   static_cast<key_number>(end - 1)},
-                                  id});
+                moves_.push_back(
+                    {service_,
+                     {static_cast<key_number>(first), static_cast<key_number>(end - 1)},
+                     id});
             }
             first = end;
         }
@@ -142,18 +141,16 @@
 
     server_load& least_busy()
     {
-        return std::min_element(servers_.begin(), servers_.end(),
-                                [](const auto& a, const auto& b) {
-                                    return a.second.busy() < b.second.busy();
-                                })
+        return std::min_element(
+                   servers_.begin(), servers_.end(),
+                   [](const auto& a, const auto& b) { return a.second.busy() < b.second.busy(); })
             ->second;
     }
     server_load& most_busy()
     {
-        return std::max_element(servers_.begin(), servers_.end(),
-                                [](const auto& a, const auto& b) {
-                                    return a.second.busy() < b.second.busy();
-                                })
+        return std::max_element(
+                   servers_.begin(), servers_.end(),
+                   [](const auto& a, const auto& b) { return a.second.busy() < b.second.busy(); })
             ->second;
     }
 
@@ -167,8 +164,7 @@
     // One taker of a whole range would be as busy as two servers, so several share it.
     void divide(key_range keys)
     {
-        const auto pieces =
-            std::min<std::size_t>({options_.pieces, servers_.size(), keys.size()});
+        const auto pieces = std::min<std::size_t>({options_.pieces, servers_.size(), keys.size()});
         auto left = keys;
         for (std::size_t n = pieces; n > 1; --n) {
             const auto cut = split_at(left, rate_of(left) / static_cast<double>(n));
@@ -187,18 +183,19 @@
         const auto seen = input_.load.rate(service_, keys);
         if (seen < options_.assumed_rate * keys.size() / key_count) {
             const auto share = std::min(1.0, rate / std::max(rate_of(keys), 1e-9));
-            return static_cast<key_number>(keys.first +
-                                           std::max(0.0, share * keys.size() - 1));
+            return static_cast<key_number>(keys.first + std::max(0.0, share * keys.size() - 1));
         }
         return input_.load.piece_end(service_, keys, rate * seen / rate_of(keys));
     }
 
     void fill_empty_servers()
     {
-        for (auto& [id, it] : servers_) {
+        for (auto& entry : servers_) {
+            auto& it = entry.second;
             const bool holds_keys =
-                it.rate > 0 || std::any_of(moves_.begin(), moves_.end(),
-                                           [&](const auto& move) { return move.to == id; });
+                it.rate > 0 || std::any_of(moves_.begin(), moves_.end(), [&](const auto& move) {
+                    return move.to == entry.first;
+                });
             if (holds_keys || moves_.size() >= options_.most_moves) {
                 continue;
             }
--- a/src/libs/assignment/coordinator.cpp
+++ b/src/libs/assignment/coordinator.cpp
@@ -56,7 +56,7 @@
     append_unknown_ = false;
     end_ = end;
     table_known_ = true;
-    const auto found = table.value_or(assignment_table{});
+    const auto found = table ? std::move(*table) : assignment_table{};
     const bool own = found.coordinator == options_.self && found.term > 0;
     if (found.term > table_.term) {
         sign_ = now;
@@ -132,8 +132,7 @@
     // last their time.
     const bool wait = options_.wait_after_new_term && !after_clean_stop_;
     const auto others_act = wait ? options_.read_validity : duration{0};
-    inherited_hold_end_ =
-        now + others_act + options_.grant_timeout + stretched(options_.hold_most);
+    inherited_hold_end_ = now + others_act + options_.grant_timeout + stretched(options_.hold_most);
     servers_since_ = now;
     if (hooks_.on_term) {
         hooks_.on_term("taken", table_);
@@ -342,11 +341,9 @@
     if (outcome == call_outcome::accepted) {
         return true;
     }
-    const bool other_service =
-        std::any_of(servers_.begin(), servers_.end(), [&](const auto& it) {
-            return it.second.address == range.previous.address &&
-                   it.second.service != range.service;
-        });
+    const bool other_service = std::any_of(servers_.begin(), servers_.end(), [&](const auto& it) {
+        return it.second.address == range.previous.address && it.second.service != range.service;
+    });
     return outcome == call_outcome::rejected && other_service;
 }
 
@@ -402,12 +399,12 @@
     state.busy = true;
     const call_number number{next_call_++};
     calls_[number] = {.range = {it.fence, it.keys.first}};
-    effects_.emplace_back(release_keys{
-        .number = number,
-        .holder = it.previous,
-        .keys = it.keys,
-        .fence = options_.release_with_new_fence ? it.fence : it.fence - 1,
-        .timeout = options_.release_timeout});
+    effects_.emplace_back(
+        release_keys{.number = number,
+                     .holder = it.previous,
+                     .keys = it.keys,
+                     .fence = options_.release_with_new_fence ? it.fence : it.fence - 1,
+                     .timeout = options_.release_timeout});
 }
 
 void coordinator::grant(instant now, const assigned_range& it, range_state& state)
@@ -571,9 +568,8 @@
         return false;
     }
     const auto ready = ready_servers();
-    const auto moves =
-        plan_moves({.table = next, .ready = ready, .load = load_, .services = keyed_},
-                   options_.balance);
+    const auto moves = plan_moves(
+        {.table = next, .ready = ready, .load = load_, .services = keyed_}, options_.balance);
     for (const auto& it : moves) {
         apply_move(next, it);
     }
--- a/src/libs/assignment/load_map.cpp
+++ b/src/libs/assignment/load_map.cpp
@@ -40,8 +40,7 @@
     if (now - aged_ < step) {
         return;
     }
-    const auto keep =
-        static_cast<float>(std::exp(-seconds_of(now - aged_) / seconds_of(memory_)));
+    const auto keep = static_cast<float>(std::exp(-seconds_of(now - aged_) / seconds_of(memory_)));
     aged_ = now;
     for (auto& [service, counts] : counts_) {
         for (auto& it : counts) {
--- a/src/libs/dispatch/dispatcher.cpp
+++ b/src/libs/dispatch/dispatcher.cpp
@@ -25,10 +25,7 @@
 
 void dispatcher::submit(instant now, const work_ticket& ticket, work_request request)
 {
-    waiting_request it{.ticket = ticket,
-                       .request = std::move(request),
-                       .objective = {},
-                       .end = {}};
+    waiting_request it{.ticket = ticket, .request = std::move(request), .objective = {}, .end = {}};
     it.objective = now + duration{it.request.objective_left};
     it.end = now + duration{it.request.time_left};
     shares_.on_asked(now, it.request.kind);
@@ -48,12 +45,12 @@
     }
     // Whoever would wait until its answer is late takes a place that another could use in time.
     const auto wait = expected_wait(now, *found);
-    const auto in_time = std::chrono::duration_cast<duration>((found->objective - now) *
-                                                              options_.objective_share);
+    const auto in_time =
+        std::chrono::duration_cast<duration>((found->objective - now) * options_.objective_share);
     const auto latest = now + std::max(in_time, usual_work(*found));
     if (now + wait + usual_work(*found) > std::min(latest, found->end)) {
-        const auto back = std::clamp<duration>(wait, options_.come_back_least,
-                                               options_.come_back_most);
+        const auto back =
+            std::clamp<duration>(wait, options_.come_back_least, options_.come_back_most);
         const auto turned = *found;
         queue_.erase(found);
         refuse(turned, back, "too_busy");
--- a/src/libs/dispatch/repeat_budget.cpp
+++ b/src/libs/dispatch/repeat_budget.cpp
@@ -23,7 +23,8 @@
 
 void repeat_budget::refill(instant now, std::size_t hosts)
 {
-    const auto part = options_.extra * options_.used / static_cast<double>(std::max<std::size_t>(hosts, 1));
+    const auto part =
+        options_.extra * options_.used / static_cast<double>(std::max<std::size_t>(hosts, 1));
     if (extra_ < 0) {
         extra_ = part / 2;
         filled_ = now;
--- a/src/libs/http/call_pool.cpp
+++ b/src/libs/http/call_pool.cpp
@@ -115,17 +115,17 @@
                      slot->answer.body.append(buf, n);
                  }
              },
-         .on_end = [this, slot](bool reusable) { finish(*slot, std::move(slot->answer), reusable); },
+         .on_end = [this, slot](bool reusable) { finish(*slot, slot->answer, reusable); },
          .on_lost =
              [this, slot](connection_loss how) {
-                 finish(*slot,
-                        {.refused = how == connection_loss::refused,
-                         .sent = slot->connection->sent()},
-                        false);
+                 finish(
+                     *slot,
+                     {.refused = how == connection_loss::refused, .sent = slot->connection->sent()},
+                     false);
              }});
 }
 
-void call_pool::finish(slot& it, http_answer answer, bool keep)
+void call_pool::finish(slot& it, const http_answer& answer, bool keep)
 {
     it.timeout.cancel();
     auto done = std::move(it.done);
@@ -149,7 +149,8 @@
     for (auto& [address, state] : addresses_) {
         std::erase_if(state.slots, [&](const auto& it) {
             const bool idle = !it->done;
-            return idle && (it->over || now - it->connection->last_answer() > options_.longest_idle);
+            return idle &&
+                   (it->over || now - it->connection->last_answer() > options_.longest_idle);
         });
         while (!state.waiting.empty() && now > state.waiting.front().deadline) {
             auto call = std::move(state.waiting.front());
--- a/src/libs/http/client_connection.cpp
+++ b/src/libs/http/client_connection.cpp
@@ -99,8 +99,7 @@
         connected_ = true;
         connect_timer_.cancel();
         const int on = 1;
-        const auto limit =
-            static_cast<unsigned>(options_.unacknowledged / millis{1});
+        const auto limit = static_cast<unsigned>(options_.unacknowledged / millis{1});
         const auto fd = bufferevent_getfd(bev_);
         setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
         setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &limit, sizeof limit);
@@ -113,7 +112,7 @@
     const auto error = EVUTIL_SOCKET_ERROR();
     if (!connected_) {
         lose(error == ECONNREFUSED || error == ECONNRESET ? connection_loss::refused
-                                                           : connection_loss::not_connected);
+                                                          : connection_loss::not_connected);
         return;
     }
     if ((what & BEV_EVENT_EOF) != 0) {
--- a/src/libs/http/header_list.cpp
+++ b/src/libs/http/header_list.cpp
@@ -18,9 +18,8 @@
 
 void erase_header(header_list& headers, const std::string& name)
 {
-    std::erase_if(headers, [&](const auto& it) {
-        return strcasecmp(it.first.c_str(), name.c_str()) == 0;
-    });
+    std::erase_if(headers,
+                  [&](const auto& it) { return strcasecmp(it.first.c_str(), name.c_str()) == 0; });
 }
 
 bool is_hop_header(const std::string& name)
--- a/src/libs/http/message_head.cpp
+++ b/src/libs/http/message_head.cpp
@@ -17,9 +17,8 @@
 
 bool is_field_value(std::string_view text)
 {
-    return std::none_of(text.begin(), text.end(), [](unsigned char c) {
-        return (c < 0x20 && c != '\t') || c == 0x7f;
-    });
+    return std::none_of(text.begin(), text.end(),
+                        [](unsigned char c) { return (c < 0x20 && c != '\t') || c == 0x7f; });
 }
 
 bool is_request_line(std::string_view line)
--- a/src/libs/logging/event_log.cpp
+++ b/src/libs/logging/event_log.cpp
@@ -29,8 +29,8 @@
 std::string milliseconds_text(duration it)
 {
     std::array<char, 32> buf{};
-    const auto n = std::snprintf(buf.data(), buf.size(), "%.1fms",
-                                 static_cast<double>(it.count()) / 1000.0);
+    const auto n =
+        std::snprintf(buf.data(), buf.size(), "%.1fms", static_cast<double>(it.count()) / 1000.0);
     return {buf.data(), static_cast<std::size_t>(n)};
 }
 
@@ -103,9 +103,8 @@
 
 event_log& standard_log()
 {
-    static event_log it{[](const char* buf, std::size_t n) -> long {
-        return write(STDOUT_FILENO, buf, n);
-    }};
+    static event_log it{
+        [](const char* buf, std::size_t n) -> long { return write(STDOUT_FILENO, buf, n); }};
     static const bool prepared = [] {
         fcntl(STDOUT_FILENO, F_SETFL, fcntl(STDOUT_FILENO, F_GETFL) | O_NONBLOCK);
         return true;
--- a/src/plugins/entry/caller_connection.cpp
+++ b/src/plugins/entry/caller_connection.cpp
@@ -28,7 +28,7 @@
 
 caller_connection::caller_connection(event_loop& loop, int fd, caller_connection_options options,
                                      caller_connection_hooks hooks)
-    : loop_(loop), options_(std::move(options)), hooks_(std::move(hooks)),
+    : loop_(loop), options_(options), hooks_(std::move(hooks)),
       bev_(bufferevent_socket_new(loop.base(), fd, BEV_OPT_CLOSE_ON_FREE)),
       reader_({.kind = message_kind::request,
                .max_head = static_cast<std::size_t>(options_.limits.head_bytes)},
@@ -43,7 +43,8 @@
         [](bufferevent*, void* arg) {
             auto& self = *static_cast<caller_connection*>(arg);
             self.pump();
-            if (self.bev_ != nullptr && !self.exchanges_.empty() && self.exchanges_.front()->on_room) {
+            if (self.bev_ != nullptr && !self.exchanges_.empty() &&
+                self.exchanges_.front()->on_room) {
                 const auto front = self.exchanges_.front();
                 front->on_room();
             }
@@ -95,7 +96,8 @@
         }
     }
     if (bev_ != nullptr && no_more_requests_) {
-        evbuffer_drain(bufferevent_get_input(bev_), evbuffer_get_length(bufferevent_get_input(bev_)));
+        evbuffer_drain(bufferevent_get_input(bev_),
+                       evbuffer_get_length(bufferevent_get_input(bev_)));
     }
 }
 
@@ -239,6 +241,7 @@
     const auto front = exchanges_.front();
     // After an answer that broke off nothing more is sent: its missing end shows that it is not
     // whole.
+    reset_ = reset_ || (front->broken_ && front->begun_ && !front->framed_);
     exchanges_.pop_front();
     front->connection_ = nullptr;
     idle_since_ = monotonic_now();
@@ -298,7 +301,7 @@
         return;
     }
     const auto fd = bufferevent_getfd(bev_);
-    if (!exchanges_.empty() && fd >= 0) {
+    if ((reset_ || !exchanges_.empty()) && fd >= 0) {
         reset_on_close(fd);
     }
     bufferevent_free(bev_);
--- a/src/plugins/entry/caller_connection.hpp
+++ b/src/plugins/entry/caller_connection.hpp
@@ -78,6 +78,8 @@
     bool reading_{true};
     bool no_more_requests_{};
     bool closing_{};
+    /// An orderly end would make an answer that broke off look whole.
+    bool reset_{};
     bool pumping_{};
 };
 
--- a/src/plugins/entry/caller_exchange.cpp
+++ b/src/plugins/entry/caller_exchange.cpp
@@ -67,8 +67,10 @@
     }
     const bool bodyless = has_no_body(status, head.method);
     chunked_ = !length && !bodyless && head.version_1_1;
+    framed_ = chunked_ || length || bodyless;
     // A caller of the old version knows the end of such an answer by the end of the connection.
-    close_after_ = !head.keep_alive || (connection_->hooks_.stopping && connection_->hooks_.stopping()) ||
+    close_after_ = !head.keep_alive ||
+                   (connection_->hooks_.stopping && connection_->hooks_.stopping()) ||
                    (!length && !bodyless && !head.version_1_1);
     evbuffer_add_printf(out_, "HTTP/1.1 %d %s\r\n", status, reason_phrase(status));
     for (const auto& [name, value] : headers) {
@@ -132,7 +134,7 @@
     }
 }
 
-void caller_exchange::answer(int status, header_list headers, const std::string& text)
+void caller_exchange::answer(int status, const header_list& headers, const std::string& text)
 {
     begin(status, headers, text.size());
     if (head.method != "HEAD") {
--- a/src/plugins/entry/caller_exchange.hpp
+++ b/src/plugins/entry/caller_exchange.hpp
@@ -43,7 +43,7 @@
     /// The answer broke off: the caller must see that it is not whole.
     void break_off();
     /// A whole answer in one.
-    void answer(int status, header_list headers, const std::string& body);
+    void answer(int status, const header_list& headers, const std::string& body);
 
     [[nodiscard]] bool begun() const { return begun_; }
     [[nodiscard]] bool ended() const { return ended_; }
@@ -60,6 +60,8 @@
     bool ended_{};
     bool broken_{};
     bool chunked_{};
+    /// The caller can tell the end of the answer without the end of the connection.
+    bool framed_{};
     bool close_after_{};
 };
 
--- a/src/plugins/entry/coordination_task.cpp
+++ b/src/plugins/entry/coordination_task.cpp
@@ -70,11 +70,12 @@
                                                 {"fence", it.fence},
                                                 {"proof", with_handoff ? "handoff" : "none"}});
                 },
-            .on_fenced = [](const assigned_range& it) {
-                log_event("grant_fenced", {{"keys", keys_text(it.keys)},
-                                           {"server", it.owner.id.value},
-                                           {"fence", it.fence}});
-            }};
+            .on_fenced =
+                [](const assigned_range& it) {
+                    log_event("grant_fenced", {{"keys", keys_text(it.keys)},
+                                               {"server", it.owner.id.value},
+                                               {"fence", it.fence}});
+                }};
 }
 
 } // namespace
@@ -128,9 +129,8 @@
 {
     const auto own = stable_hash(context_.self.value);
     const auto hosts = peers_.connected_hosts();
-    return static_cast<std::size_t>(
-        std::count_if(hosts.begin(), hosts.end(),
-                      [&](const auto& it) { return stable_hash(it.value) < own; }));
+    return static_cast<std::size_t>(std::count_if(
+        hosts.begin(), hosts.end(), [&](const auto& it) { return stable_hash(it.value) < own; }));
 }
 
 void coordination_task::on_servers_or_configuration(instant now)
--- a/src/plugins/entry/dispatch_task.cpp
+++ b/src/plugins/entry/dispatch_task.cpp
@@ -126,11 +126,10 @@
         if (it.ticket.host == context_.self) {
             refuse(it.ticket.number, it.retry_after, it.reason);
         } else {
-            peers_.send(it.ticket.host,
-                        place_refused{.number = it.ticket.number,
-                                      .retry_after =
-                                          static_cast<std::uint64_t>(it.retry_after.count()),
-                                      .reason = it.reason});
+            peers_.send(it.ticket.host, place_refused{.number = it.ticket.number,
+                                                      .retry_after = static_cast<std::uint64_t>(
+                                                          it.retry_after.count()),
+                                                      .reason = it.reason});
         }
     }
 }
@@ -167,10 +166,9 @@
     requests_.erase(found);
     const auto id = group_of(it.request);
     if (it.dispatcher != context_.self) {
-        peers_.send(it.dispatcher, place_done{.number = number,
-                                              .service = id.service,
-                                              .only = id.only,
-                                              .report = report});
+        peers_.send(
+            it.dispatcher,
+            place_done{.number = number, .service = id.service, .only = id.only, .report = report});
         return;
     }
     auto& from = group(id, it.local);
@@ -247,9 +245,8 @@
             it.tick(now);
             hand_out(it);
         }
-        std::erase_if(*all, [&](const auto& it) {
-            return it.second.idle() && servers_of(it.first).empty();
-        });
+        std::erase_if(
+            *all, [&](const auto& it) { return it.second.idle() && servers_of(it.first).empty(); });
     }
 }
 
--- a/src/plugins/entry/entry_host.cpp
+++ b/src/plugins/entry/entry_host.cpp
@@ -78,8 +78,8 @@
 
 entry_host::tasks::tasks(event_loop& loop_, entry_settings settings_, deployment_api platform_)
     : loop(loop_), settings(std::move(settings_)), platform(std::move(platform_)),
-      self(new_host_id(settings.peers)), view(stable_hash(self.value)),
-      context{loop, settings, platform, view, metrics, self},
+      self(new_host_id(settings.peers)),
+      view(stable_hash(self.value)), context{loop, settings, platform, view, metrics, self},
       peers(loop,
             {.self = self,
              .address = settings.peers,
@@ -94,25 +94,21 @@
                      coordination.on_host_connected(host);
                  },
              .on_disconnected = [this](const host_id& host) { on_host_lost(host); },
-             .on_visitor =
-                 [this](const host_id& host) { peers.connect_to({address_of(host)}); },
+             .on_visitor = [this](const host_id& host) { peers.connect_to({address_of(host)}); },
              .on_process_gone = [](const host_id&) {},
              .on_request = [](const exchange_ptr&) {},
              .next_request_id = [] { return request_id{}; }}),
       follower(context, {.on_servers = [this] { on_view_change(); },
                          .on_configuration = [this] { on_view_change(); }}),
-      coordination(context, peers, follower,
-                   {.on_table = [this] { front.on_change(); }}),
+      coordination(context, peers, follower, {.on_table = [this] { front.on_change(); }}),
       places(context, peers), connections(context),
       services{.places = places,
                .connections = connections,
                .hosts = [this] { return peers.connected_hosts().size() + 1; },
                .budget = [this](const service_id& it) -> repeat_budget& { return budget(it); },
                .answer_sizes = {},
-               .note_request =
-                   [this](const service_id& service, key_number key) {
-                       coordination.note_request(service, key);
-                   },
+               .note_request = [this](const service_id& service,
+                                      key_number key) { coordination.note_request(service, key); },
                .note_work = [this](const server_id& server,
                                    duration took) { coordination.note_work(server, took); }},
       front(context, services), announcer(context, peers),
--- a/src/plugins/entry/flow_services.hpp
+++ b/src/plugins/entry/flow_services.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "quincewing/base/ids.hpp"
 #include "quincewing/assignment/assignment_table.hpp"
+#include "quincewing/base/ids.hpp"
 #include "quincewing/dispatch/repeat_budget.hpp"
 
 #include <functional>
--- a/src/plugins/entry/front_task.cpp
+++ b/src/plugins/entry/front_task.cpp
@@ -44,10 +44,9 @@
     const auto accept = [](evconnlistener*, evutil_socket_t fd, sockaddr*, int, void* arg) {
         static_cast<front_task*>(arg)->on_accept(fd);
     };
-    listener_ = evconnlistener_new_bind(context_.loop.base(), accept, this,
-                                        LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
-                                        waiting_connections,
-                                        reinterpret_cast<sockaddr*>(&address), sizeof address);
+    listener_ = evconnlistener_new_bind(
+        context_.loop.base(), accept, this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
+        waiting_connections, reinterpret_cast<sockaddr*>(&address), sizeof address);
     return listener_ != nullptr;
 }
 
--- a/src/plugins/entry/host_announcer.cpp
+++ b/src/plugins/entry/host_announcer.cpp
@@ -35,14 +35,13 @@
 {
     busy_ = true;
     store_record record{.key = context_.settings.peers, .value = context_.self.value};
-    context_.platform.store.append(store_stream::hosts, std::move(record), std::nullopt,
-                                   [this](const store_append& answer) {
-                                       busy_ = false;
-                                       announced_ = answer.status == store_status::ok;
-                                       next_try_ = announced_ ? monotonic_now()
-                                                              : monotonic_now() + try_again;
-                                       tick(monotonic_now());
-                                   });
+    context_.platform.store.append(
+        store_stream::hosts, std::move(record), std::nullopt, [this](const store_append& answer) {
+            busy_ = false;
+            announced_ = answer.status == store_status::ok;
+            next_try_ = announced_ ? monotonic_now() : monotonic_now() + try_again;
+            tick(monotonic_now());
+        });
 }
 
 void host_announcer::find()
--- a/src/plugins/entry/request_flow.cpp
+++ b/src/plugins/entry/request_flow.cpp
@@ -120,8 +120,8 @@
     const auto* host = find_header(head.headers, "Host");
     const auto path = head.target.substr(0, head.target.find('?'));
     version_ = context_.view.routes().current().version;
-    route_ = host == nullptr ? nullptr
-                             : context_.view.routes().find(host_without_port(*host), path);
+    route_ =
+        host == nullptr ? nullptr : context_.view.routes().find(host_without_port(*host), path);
     if (!route_) {
         fail(not_found, "no_route");
         return;
@@ -183,31 +183,28 @@
         .data_centre = data_centre_id{context_.settings.data_centre},
         .priority = route_->route.priority,
         .kind = kind_of(route_->route),
-        .objective_left =
-            (exchange_->arrived + route_->route.latency_objective - now).count(),
+        .objective_left = (exchange_->arrived + route_->route.latency_objective - now).count(),
         .time_left = (end_ - now).count(),
-        .answer_bytes = size == services_.answer_sizes.end()
-                            ? 0
-                            : static_cast<std::uint64_t>(size->second)};
+        .answer_bytes =
+            size == services_.answer_sizes.end() ? 0 : static_cast<std::uint64_t>(size->second)};
     if (!only.value.empty()) {
         request.avoid.clear();
     }
     const std::weak_ptr<request_flow> self = weak_from_this();
     const auto number = services_.places.ask(
-        std::move(request),
-        {.on_place =
-             [self](std::uint64_t n, const server_id& server) {
-                 if (const auto it = self.lock()) {
-                     it->on_place(n, server);
-                 }
-             },
-         .on_refused =
-             [self](duration retry_after, const std::string& reason) {
-                 if (const auto it = self.lock()) {
-                     it->place_ = 0;
-                     it->on_refused(retry_after, reason);
-                 }
-             }});
+        std::move(request), {.on_place =
+                                 [self](std::uint64_t n, const server_id& server) {
+                                     if (const auto it = self.lock()) {
+                                         it->on_place(n, server);
+                                     }
+                                 },
+                             .on_refused =
+                                 [self](duration retry_after, const std::string& reason) {
+                                     if (const auto it = self.lock()) {
+                                         it->place_ = 0;
+                                         it->on_refused(retry_after, reason);
+                                     }
+                                 }});
     if (stage_ == stage::place) {
         place_ = number;
     }
@@ -281,7 +278,10 @@
                          strcasecmp(name.c_str(), names.target_server.c_str()) == 0;
         const bool named = connection != nullptr && has_token(*connection, name);
         if (host || !(is_hop_header(name) || own || named)) {
-            out += name + ": " + value + "\r\n";
+            out += name;
+            out += ": ";
+            out += value;
+            out += "\r\n";
         }
     }
     const auto ms = std::max<duration::rep>(left() / millis{1}, 1);
@@ -320,9 +320,8 @@
     const auto* echoed = find_header(head.headers, names.request_id);
     // A second answer to an earlier request may come where this one's is due.
     if (!id_.empty() && echoed != nullptr && *echoed != id_) {
-        log_event("answer_of_another", {{"request", id_},
-                                        {"answer", *echoed},
-                                        {"server", server_.id.value}});
+        log_event("answer_of_another",
+                  {{"request", id_}, {"answer", *echoed}, {"server", server_.id.value}});
         return head_use::skip;
     }
     answer_ = std::move(head);
@@ -334,8 +333,8 @@
     }
     report_.outcome =
         answer_.status >= server_error ? work_outcome::failed : work_outcome::answered;
-    const bool whole_first = repeatable() && (!answer_.length ||
-                                              *answer_.length <= context_.settings.held_answer);
+    const bool whole_first =
+        repeatable() && (!answer_.length || *answer_.length <= context_.settings.held_answer);
     const bool again = report_.outcome == work_outcome::failed && may_send_again();
     if (!whole_first && !again) {
         begin_answer();
--- a/src/plugins/entry/store_follower.cpp
+++ b/src/plugins/entry/store_follower.cpp
@@ -19,12 +19,11 @@
 store_follower::store_follower(host_context context, store_follower_hooks hooks)
     : context_(std::move(context)), hooks_(std::move(hooks)),
       directory_({}, {.decode = context_.platform.decode_server,
-                      .on_unreadable =
-                          [](const store_record& record, const std::string& error) {
-                              log_event("server_unreadable", {{"server", record.key},
-                                                              {"offset", record.offset.value},
-                                                              {"error", error}});
-                          }})
+                      .on_unreadable = [](const store_record& record, const std::string& error) {
+                          log_event("server_unreadable", {{"server", record.key},
+                                                          {"offset", record.offset.value},
+                                                          {"error", error}});
+                      }})
 {
 }
 
@@ -57,9 +56,7 @@
     servers_busy_ = true;
     const auto sent = monotonic_now();
     const bool newest = servers_newest_wanted_;
-    auto done = [this, sent, newest](const store_page& page) {
-        take_servers(sent, page, newest);
-    };
+    auto done = [this, sent, newest](const store_page& page) { take_servers(sent, page, newest); };
     if (newest) {
         context_.platform.store.newest(store_stream::servers, done);
     } else {
@@ -155,9 +152,8 @@
         return;
     }
     configuration_ = record;
-    log_event("configuration", {{"version", version},
-                                {"routes", routes},
-                                {"offset", record.offset.value}});
+    log_event("configuration",
+              {{"version", version}, {"routes", routes}, {"offset", record.offset.value}});
     hooks_.on_configuration();
 }
 
@@ -198,9 +194,9 @@
     }
     for (const auto& [id, it] : before) {
         if (!directory_.servers().contains(id)) {
-            log_event("server", {{"server", id.value},
-                                 {"state", "gone"},
-                                 {"offset", directory_.read().value}});
+            log_event(
+                "server",
+                {{"server", id.value}, {"state", "gone"}, {"offset", directory_.read().value}});
         }
     }
     context_.view.apply_servers(directory_.servers());
--- a/src/plugins/entry/store_follower.hpp
+++ b/src/plugins/entry/store_follower.hpp
@@ -34,7 +34,10 @@
     /// The configuration in force, as the store holds it.
     [[nodiscard]] const store_record& configuration_record() const { return configuration_; }
     [[nodiscard]] duration servers_age(instant now) const { return now - servers_sent_; }
-    [[nodiscard]] duration configuration_age(instant now) const { return now - configuration_sent_; }
+    [[nodiscard]] duration configuration_age(instant now) const
+    {
+        return now - configuration_sent_;
+    }
     [[nodiscard]] bool configured() const { return context_.view.routes().configured(); }
 
 private:
--- a/tests/auto/assignment/balance_planner_test.cpp
+++ b/tests/auto/assignment/balance_planner_test.cpp
@@ -3,8 +3,8 @@
 #include "test_options.hpp"
 
 #include <algorithm>
-#include <boost/random/uniform_01.hpp>
 #include <boost/random/mersenne_twister.hpp>
+#include <boost/random/uniform_01.hpp>
 #include <doctest/doctest.h>
 #include <map>
 
@@ -59,9 +59,8 @@
                         .keys = it.keys,
                         .owner = {.id = it.to, .start = server_start{1}, .address = it.to.value},
                         .fence = 1});
-        std::sort(next.begin(), next.end(), [](const auto& a, const auto& b) {
-            return a.keys.first < b.keys.first;
-        });
+        std::sort(next.begin(), next.end(),
+                  [](const auto& a, const auto& b) { return a.keys.first < b.keys.first; });
         table.ranges = next;
     }
     /// Requests of so much time: a share for one key, the others skewed towards a few keys that
--- a/tests/auto/assignment/coordinator_search.cpp
+++ b/tests/auto/assignment/coordinator_search.cpp
@@ -59,8 +59,7 @@
             if (it.keys.contains(key)) {
                 seen[key] = it.fence;
                 auto& mine = granted[key];
-                const auto until =
-                    arrived + std::chrono::duration_cast<duration>(it.hold * 1.02);
+                const auto until = arrived + std::chrono::duration_cast<duration>(it.hold * 1.02);
                 mine = {it.fence, mine.fence == it.fence ? std::max(mine.until, until) : until};
             }
         }
@@ -106,9 +105,8 @@
     {
         for (std::size_t i = 0; i < server_count; ++i) {
             const auto name = "s" + std::to_string(i);
-            servers_[i].self = {.id = server_id{name},
-                                .start = server_start{1},
-                                .address = name + ":80"};
+            servers_[i].self = {
+                .id = server_id{name}, .start = server_start{1}, .address = name + ":80"};
             servers_[i].entry_seen = now_;
         }
         for (std::size_t i = 0; i < host_count; ++i) {
@@ -125,7 +123,7 @@
             for (std::size_t i = 0; i < host_count; ++i) {
                 tick(i);
             }
-            if (const auto wrong = check()) {
+            if (auto wrong = check()) {
                 return wrong;
             }
         }
@@ -216,7 +214,8 @@
         }
     }
     /// Gives an answer to the life of the host that asked, once it is not frozen.
-    void answer(std::size_t i, std::uint64_t life, std::function<void(coordinator&, instant)> act)
+    void answer(std::size_t i, std::uint64_t life,
+                const std::function<void(coordinator&, instant)>& act)
     {
         auto& host = hosts_[i];
         if (host.life != life || !host.up) {
@@ -265,9 +264,8 @@
         const auto life = hosts_[i].life;
         const auto tell = [this, i, life](duration after, append_outcome outcome) {
             later(after, [this, i, life, outcome] {
-                answer(i, life, [outcome](coordinator& core, instant now) {
-                    core.on_append(now, outcome);
-                });
+                answer(i, life,
+                       [outcome](coordinator& core, instant now) { core.on_append(now, outcome); });
             });
         };
         if (hosts_[i].cut_from_store || store_down_) {
@@ -296,9 +294,9 @@
 
     played_server* server_at(const key_holder& holder)
     {
-        const auto found =
-            std::find_if(servers_.begin(), servers_.end(),
-                         [&](const auto& it) { return it.self.address == holder.address; });
+        const auto found = std::find_if(servers_.begin(), servers_.end(), [&](const auto& it) {
+            return it.self.address == holder.address;
+        });
         return found == servers_.end() ? nullptr : &*found;
     }
     template <class Call>
--- a/tests/auto/assignment/coordinator_test.cpp
+++ b/tests/auto/assignment/coordinator_test.cpp
@@ -13,11 +13,12 @@
 struct fixture
 {
     explicit fixture(const char* name = "h1", coordinator_options options = {})
-        : it([&] {
-              options.self = host_id{name};
-              return options;
-          }(),
-             {})
+        : it(
+              [&] {
+                  options.self = host_id{name};
+                  return options;
+              }(),
+              {})
     {
     }
 
@@ -160,12 +161,12 @@
         .revision = 5,
         .coordinator = host_id{"h1"},
         .last_fence = 7,
-        .ranges = {{.service = keyed,
-                    .keys = {0, 65535},
-                    .owner = {.id = server_id{"s2"}, .start = server_start{1}, .address = "s2"},
-                    .fence = 7,
-                    .previous = {.id = server_id{"s1"}, .start = server_start{1},
-                                 .address = "s1"}}}};
+        .ranges = {
+            {.service = keyed,
+             .keys = {0, 65535},
+             .owner = {.id = server_id{"s2"}, .start = server_start{1}, .address = "s2"},
+             .fence = 7,
+             .previous = {.id = server_id{"s1"}, .start = server_start{1}, .address = "s1"}}}};
     f.end = 5;
     f.on_release = [](const auto&) { return call_outcome::not_sent; };
     f.it.on_sign_of_coordinator(f.now, *f.stored, millis{100});
@@ -231,7 +232,8 @@
 
 } // namespace
 
-TEST_CASE("coordinator: keys of a silent holder wait until the coordinator before can have no grant")
+TEST_CASE(
+    "coordinator: keys of a silent holder wait until the coordinator before can have no grant")
 {
     const coordinator_options options;
     // The one before may have read its own term just before this one began, act for as long as
--- /dev/null
+++ b/tests/auto/http/message_reader_test.cpp
@@ -0,0 +1,108 @@
+#include "quincewing/http/message_reader.hpp"
+
+#include <doctest/doctest.h>
+#include <event2/buffer.h>
+#include <memory>
+#include <string>
+
+using namespace quincewing;
+
+namespace {
+
+/// Feeds a reader piece by piece and keeps what it gives out.
+struct reader_fixture
+{
+    explicit reader_fixture(message_kind kind)
+        : buf(evbuffer_new(), &evbuffer_free),
+          reader({.kind = kind, .max_head = 1024},
+                 {.on_head =
+                      [this](message_head& it) {
+                          head = it;
+                          ++heads;
+                          return false;
+                      },
+                  .on_body = [this](const char* at, std::size_t n) { body.append(at, n); }})
+    {
+    }
+    read_result feed(const std::string& text)
+    {
+        evbuffer_add(buf.get(), text.data(), text.size());
+        return reader.read(buf.get());
+    }
+    std::size_t left() const { return evbuffer_get_length(buf.get()); }
+
+    std::unique_ptr<evbuffer, decltype(&evbuffer_free)> buf;
+    message_head head;
+    std::string body;
+    int heads{};
+    message_reader reader;
+};
+
+const std::string get_request = "GET /a/b?c HTTP/1.1\r\nHost: h\r\n\r\n";
+
+} // namespace
+
+TEST_CASE("http: a request is read whole however it is cut")
+{
+    const std::string text = "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhello";
+    for (std::size_t cut = 1; cut < text.size(); ++cut) {
+        reader_fixture f{message_kind::request};
+        CHECK(f.feed(text.substr(0, cut)) == read_result::more);
+        CHECK(f.feed(text.substr(cut)) == read_result::complete);
+        CHECK(f.head.method == "POST");
+        CHECK(f.body == "hello");
+    }
+}
+
+TEST_CASE("http: pipelined requests come out one by one")
+{
+    reader_fixture f{message_kind::request};
+    CHECK(f.feed(get_request + get_request) == read_result::complete);
+    CHECK(f.left() == get_request.size());
+    CHECK(f.feed("") == read_result::complete);
+    CHECK(f.left() == 0);
+    CHECK(f.heads == 2);
+}
+
+TEST_CASE("http: heads that parsers read differently are refused")
+{
+    for (const char* head :
+         {"GET / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\n",
+          "GET / HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n",
+          "GET / HTTP/1.1\r\nHost : h\r\n\r\n", "GET / HTTP/1.1\r\n Host: h\r\n\r\n",
+          "GET / HTTP/1.1\r\nHost: a\rb\r\n\r\n", "GET  / HTTP/1.1\r\n\r\n",
+          "GET / HTTP/2.0\r\n\r\n", "GET / HTTP/1.1\nHost: h\n\n",
+          "GET / HTTP/1.1\r\nHost: h\n\r\n\r\n", "POST / HTTP/1.1\r\nContent-Length: +3\r\n\r\nabc",
+          "POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n"}) {
+        reader_fixture f{message_kind::request};
+        CAPTURE(head);
+        CHECK(f.feed(head) == read_result::malformed);
+    }
+}
+
+TEST_CASE("http: a head over the limit is told apart")
+{
+    reader_fixture f{message_kind::request};
+    CHECK(f.feed("GET / HTTP/1.1\r\nA: " + std::string(2000, 'x')) == read_result::head_too_long);
+}
+
+TEST_CASE("http: an answer without a length ends with the stream, a cut one does not")
+{
+    reader_fixture whole{message_kind::response};
+    CHECK(whole.feed("HTTP/1.1 200 OK\r\n\r\nabc") == read_result::more);
+    CHECK(whole.reader.end_of_stream() == read_result::complete);
+    CHECK(whole.body == "abc");
+    reader_fixture cut{message_kind::response};
+    CHECK(cut.feed("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc") == read_result::more);
+    CHECK(cut.reader.end_of_stream() == read_result::malformed);
+    reader_fixture chunked{message_kind::response};
+    CHECK(chunked.feed("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n") ==
+          read_result::more);
+    CHECK(chunked.reader.end_of_stream() == read_result::malformed);
+}
+
+TEST_CASE("http: bytes that are no answer are refused")
+{
+    reader_fixture f{message_kind::response};
+    CHECK(f.feed("SSH-2.0-x\r\n\r\n") == read_result::malformed);
+}
