--- a/src/plugins/entry/request_flow.cpp
+++ b/src/plugins/entry/request_flow.cpp
@@ -22,8 +22,10 @@
 
 // After the route's timeout a server's own answer may still be on its way.
 constexpr millis answer_on_its_way{80};
-// A key without an owner that is in force waits for the next change at most this long.
-constexpr millis owner_wait{600};
+// When to come back: a server that is gone is followed by another within seconds, keys that move
+// are in force again within a fraction of one.
+constexpr seconds owner_gone_pause{1};
+constexpr millis owner_moves_pause{200};
 // Times that a request follows its key to another owner.
 constexpr int most_owner_misses = 3;
 // Deadline of requests that name none.
@@ -163,11 +165,17 @@
         ask_place(owner.server);
         return;
     }
-    // The keys are on their way to another server; the news of it comes soon, or the request
-    // could not be served in time anyway.
+    const auto now = monotonic_now();
+    if (stage_ != stage::owner || owner_since_ == instant{}) {
+        owner_since_ = now;
+    }
     stage_ = stage::owner;
-    const auto wait = std::min<duration>(owner_wait, left() / 2);
-    timer_.once(std::max<duration>(wait, millis{1}));
+    const auto wait = owner_wait(owner, now - owner_since_, left());
+    if (wait <= duration{0}) {
+        refuse("no_owner", owner.server.value.empty() ? owner_gone_pause : owner_moves_pause);
+        return;
+    }
+    timer_.once(wait);
 }
 
 void request_flow::ask_place(const server_id& only)
@@ -522,7 +530,7 @@
 {
     const auto self = shared_from_this();
     if (stage_ == stage::owner) {
-        refuse("no_owner", millis{300});
+        refuse("no_owner", owner_moves_pause);
         return;
     }
     if (passing_) {
--- a/src/plugins/entry/request_flow.hpp
+++ b/src/plugins/entry/request_flow.hpp
@@ -6,6 +6,7 @@
 #include "server_connections.hpp"
 
 #include "quincewing/base/verdict.hpp"
+#include "quincewing/deployment/owner_wait.hpp"
 #include "quincewing/entry/host_context.hpp"
 #include "quincewing/routing/route_table.hpp"
 
@@ -87,6 +88,7 @@
     std::set<server_id> tried_;
     int sends_{};
     int owner_misses_{};
+    instant owner_since_{};
     quincewing::verdict verdict_{quincewing::verdict::not_run};
     instant sent_at_;
     message_head answer_;
