--- a/include/quincewing/assignment/coordinator.hpp
+++ b/include/quincewing/assignment/coordinator.hpp
@@ -24,9 +24,6 @@
     /// A server's clock may run slow by this share.
     double clock_drift{0.02};
     duration renew_every{seconds{1}};
-    /// After this without a confirmed renewal the keys are granted under a new fence: a server
-    /// that ended takes longer to start anew.
-    duration renewal_gap{millis{1500}};
     /// A read that shows the own term lets the coordinator act for so long after it was sent.
     duration read_validity{millis{2500}};
     duration read_every{millis{800}};
@@ -74,7 +71,9 @@
                        log_offset end);
     void on_table_unreadable(instant now);
     void on_append(instant now, append_outcome outcome);
-    void on_call(instant now, call_number number, call_outcome outcome, std::string handoff);
+    /// connection carried the call.
+    void on_call(instant now, call_number number, call_outcome outcome, std::string handoff,
+                 connection_number connection);
     /// Another host's newest table, and how old its own knowledge of the store was on arrival.
     void on_sign_of_coordinator(instant now, const assignment_table& table, duration read_age);
     /// Announced servers, keyed services.
@@ -109,9 +108,10 @@
         bool proved{};
         bool busy{};
         bool needs_fence{};
-        /// A grant under the present fence was sent; when one was last confirmed, or first sent.
+        /// A grant under the present fence may have arrived.
         bool sent{};
-        instant confirmed{};
+        /// Carried the last grant under the present fence that was confirmed.
+        connection_number connection;
         std::string handoff;
         instant next_call{};
         instant held_until{};
@@ -120,7 +120,6 @@
     {
         std::pair<std::uint64_t, key_number> range;
         key_holder holder;
-        instant sent{};
         instant held_until{};
         /// The grant is over by then, wherever its bytes were.
         instant last_effect{};
--- a/include/quincewing/assignment/coordinator_effects.hpp
+++ b/include/quincewing/assignment/coordinator_effects.hpp
@@ -11,6 +11,9 @@
 /// Numbers the calls that a coordinator asks for.
 using call_number = strong<struct call_number_tag, std::uint64_t>;
 
+/// Numbers a host's connections to servers in the order in which they were opened; 0 is none.
+using connection_number = strong<struct connection_number_tag, std::uint64_t>;
+
 /// Read the newest table, and where its stream ends.
 struct read_table
 {
@@ -35,6 +38,9 @@
     std::string handoff;
     /// The call is given up, its connection reset, after this time.
     duration timeout{};
+    /// Only a connection that is not newer than this one may carry the call, so that it reaches
+    /// the process that had the grant; none: any connection.
+    connection_number connection;
 };
 
 /// Let the holder give up the keys and refuse lower fences on them.
--- a/include/quincewing/deployment/deployment_api.hpp
+++ b/include/quincewing/deployment/deployment_api.hpp
@@ -15,7 +15,9 @@
 /// Calls to backend servers about the keys that they hold.
 struct key_api
 {
-    std::function<void(const grant_keys&, std::function<void(call_outcome)>)> grant;
+    /// done is told which connection carried the call.
+    std::function<void(const grant_keys&, std::function<void(call_outcome, connection_number)>)>
+        grant;
     /// The second argument of done is the proof of the orderly release, which may be empty.
     std::function<void(const release_keys&, std::function<void(call_outcome, std::string)>)>
         release;
--- a/include/quincewing/http/call_pool.hpp
+++ b/include/quincewing/http/call_pool.hpp
@@ -50,6 +50,7 @@
         std::deque<waiting_call> waiting;
     };
 
+    static bool may_carry(const slot& it, const http_request& request);
     void start_waiting(const std::string& address);
     void start(slot& it, waiting_call call);
     void finish(slot& it, const http_answer& answer, bool keep);
@@ -57,6 +58,7 @@
 
     event_loop& loop_;
     call_pool_options options_;
+    std::uint64_t last_number_{};
     std::map<std::string, address_state> addresses_;
     std::vector<std::unique_ptr<slot>> ended_;
     timer sweep_timer_;
--- a/include/quincewing/net/http_call.hpp
+++ b/include/quincewing/net/http_call.hpp
@@ -2,6 +2,7 @@
 
 #include "quincewing/base/time.hpp"
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <optional>
@@ -20,6 +21,8 @@
     std::map<std::string, std::string> headers;
     std::string body;
     duration timeout{seconds{2}};
+    /// Of a pool's connections only those that are not newer may carry the call; 0: any.
+    std::uint64_t newest_connection{};
 };
 
 /// status 0 when no answer came.
@@ -32,6 +35,8 @@
     bool refused{};
     /// Bytes of the request may have gone out.
     bool sent{true};
+    /// Number of the pool's connection that carried the call; 0 outside a pool.
+    std::uint64_t connection{};
 };
 
 /// One request on a connection of its own, for control traffic; done is called once.
--- a/src/libs/assignment/coordinator.cpp
+++ b/src/libs/assignment/coordinator.cpp
@@ -112,7 +112,7 @@
             merged.held_until = std::min(merged.held_until, state->held_until);
             if (old.fence == it.fence && state->sent) {
                 merged.sent = true;
-                merged.confirmed = state->confirmed;
+                merged.connection = state->connection;
             }
         }
         if (covered == it.keys.size()) {
@@ -413,20 +413,12 @@
     if (server == servers_.end() || server->second.start != it.owner.start) {
         return;
     }
-    if (state.sent && now - state.confirmed > options_.renewal_gap) {
-        // Whoever answers at the address may be another start, which the store shows later.
-        state.needs_fence = true;
-        return;
-    }
-    state.confirmed = state.sent ? state.confirmed : now;
-    state.sent = true;
     const bool doubt = now - last_read_ > options_.doubt_after;
     const auto hold = doubt ? options_.hold_in_doubt : options_.hold;
     const call_number number{next_call_++};
     state.busy = true;
     calls_[number] = {.range = {it.fence, it.keys.first},
                       .holder = it.owner,
-                      .sent = now,
                       .held_until = now + hold,
                       .last_effect = now + options_.grant_timeout + stretched(hold),
                       .grant = true};
@@ -436,11 +428,12 @@
                                      .fence = it.fence,
                                      .hold = hold,
                                      .handoff = state.handoff,
-                                     .timeout = options_.grant_timeout});
+                                     .timeout = options_.grant_timeout,
+                                     .connection = state.connection});
 }
 
 void coordinator::on_call(instant now, call_number number, call_outcome outcome,
-                          std::string handoff)
+                          std::string handoff, connection_number connection)
 {
     const auto call = calls_.find(number);
     if (call == calls_.end()) {
@@ -465,8 +458,8 @@
     state.next_call = now + options_.call_again;
     if (outcome == call_outcome::accepted && pending.grant) {
         state.held_until = pending.held_until;
-        // Its answer may have waited for this host to go on.
-        state.confirmed = pending.sent;
+        state.sent = true;
+        state.connection = connection;
         state.next_call = now + options_.renew_every;
     } else if (!pending.grant && proves_end(*range, outcome)) {
         state.proved = true;
@@ -476,6 +469,13 @@
             hooks_.on_proved(*range, !state.handoff.empty());
         }
         drive_range(now, *range);
+    } else if (pending.grant && state.sent && outcome == call_outcome::not_sent) {
+        // The connection to the process that had the grant is gone. Whoever answers at the address
+        // may be another start, which the store shows later.
+        state.needs_fence = true;
+    } else if (pending.grant && outcome == call_outcome::unknown) {
+        state.sent = true;
+        state.needs_fence = true;
     } else if (outcome == call_outcome::fenced && pending.grant) {
         state.needs_fence = true;
         if (hooks_.on_fenced) {
--- a/src/libs/http/call_pool.cpp
+++ b/src/libs/http/call_pool.cpp
@@ -37,6 +37,7 @@
     timer timeout;
     std::function<void(const http_answer&)> done;
     http_answer answer;
+    std::uint64_t number{};
     bool over{};
 };
 
@@ -62,30 +63,46 @@
     start_timer_.soon();
 }
 
+bool call_pool::may_carry(const slot& it, const http_request& request)
+{
+    return !it.over && (request.newest_connection == 0 || it.number <= request.newest_connection);
+}
+
 void call_pool::start_waiting(const std::string& address)
 {
     auto& state = addresses_[address];
+    std::deque<waiting_call> kept;
     while (!state.waiting.empty()) {
-        auto idle = std::find_if(state.slots.begin(), state.slots.end(),
-                                 [](const auto& it) { return !it->done && !it->over; });
-        if (idle == state.slots.end()) {
-            if (state.slots.size() >= options_.connections) {
-                return;
-            }
-            auto fresh = std::make_unique<slot>(loop_, address, nullptr);
-            state.slots.push_back(std::move(fresh));
-            idle = std::prev(state.slots.end());
-        }
         auto call = std::move(state.waiting.front());
         state.waiting.pop_front();
-        start(**idle, std::move(call));
+        const auto fits = [&](const auto& it) { return may_carry(*it, call.request); };
+        const auto idle = std::find_if(state.slots.begin(), state.slots.end(),
+                                       [&](const auto& it) { return fits(it) && !it->done; });
+        if (idle != state.slots.end()) {
+            start(**idle, std::move(call));
+            continue;
+        }
+        const bool busy = std::any_of(state.slots.begin(), state.slots.end(), fits);
+        const bool any = call.request.newest_connection == 0;
+        if (any && state.slots.size() < options_.connections) {
+            state.slots.push_back(std::make_unique<slot>(loop_, address, nullptr));
+            state.slots.back()->number = ++last_number_;
+            start(*state.slots.back(), std::move(call));
+        } else if (any || busy) {
+            kept.push_back(std::move(call));
+        } else {
+            call.done({.sent = false});
+        }
+    }
+    for (auto& it : kept) {
+        state.waiting.push_back(std::move(it));
     }
 }
 
 void call_pool::start(slot& it, waiting_call call)
 {
     it.done = std::move(call.done);
-    it.answer = {};
+    it.answer = {.connection = it.number};
     const auto left = std::max<duration>(call.deadline - monotonic_now(), millis{1});
     if (!it.connection) {
         it.connection = std::make_unique<client_connection>(
--- a/src/plugins/entry/coordination_task.cpp
+++ b/src/plugins/entry/coordination_task.cpp
@@ -199,18 +199,19 @@
 
 void coordination_task::carry_out(const grant_keys& it)
 {
-    context_.platform.keys.grant(it, [this, it](call_outcome outcome) {
-        const auto now = monotonic_now();
-        if (outcome != call_outcome::accepted) {
-            log_event("grant_failed", {{"server", it.holder.id.value},
-                                       {"keys", keys_text(it.keys)},
-                                       {"fence", it.fence},
-                                       {"outcome", static_cast<int>(outcome)}});
-        }
-        core_.on_call(now, it.number, outcome, "");
-        refresh_held(now);
-        spread_changes();
-    });
+    context_.platform.keys.grant(
+        it, [this, it](call_outcome outcome, connection_number connection) {
+            const auto now = monotonic_now();
+            if (outcome != call_outcome::accepted) {
+                log_event("grant_failed", {{"server", it.holder.id.value},
+                                           {"keys", keys_text(it.keys)},
+                                           {"fence", it.fence},
+                                           {"outcome", static_cast<int>(outcome)}});
+            }
+            core_.on_call(now, it.number, outcome, "", connection);
+            refresh_held(now);
+            spread_changes();
+        });
 }
 
 void coordination_task::carry_out(const release_keys& it)
@@ -223,7 +224,7 @@
                                          {"fence", it.fence},
                                          {"outcome", static_cast<int>(outcome)}});
         }
-        core_.on_call(now, it.number, outcome, std::move(handoff));
+        core_.on_call(now, it.number, outcome, std::move(handoff), {});
         carry_out();
     });
 }
--- a/tests/auto/assignment/coordinator_search.cpp
+++ b/tests/auto/assignment/coordinator_search.cpp
@@ -92,8 +92,8 @@
     bool cut_one_way{};
     bool cut_from_hosts{};
     std::vector<bool> cut_from_server = std::vector<bool>(server_count);
-    /// The host has a connection to the server on which a call went through.
-    std::vector<bool> open_connection = std::vector<bool>(server_count);
+    /// Numbers of the open connections to the servers; 0: none.
+    std::vector<std::uint64_t> open_connection = std::vector<std::uint64_t>(server_count);
     backend_servers servers;
 };
 
@@ -299,28 +299,42 @@
         });
         return found == servers_.end() ? nullptr : &*found;
     }
+    static std::uint64_t connection_limit(const grant_keys& it) { return it.connection.value; }
+    static std::uint64_t connection_limit(const release_keys&) { return 0; }
+    void tell_call(std::size_t i, std::uint64_t life, call_number number, duration after,
+                   call_outcome outcome, std::uint64_t connection)
+    {
+        later(after, [this, i, life, number, outcome, connection] {
+            answer(i, life, [=](coordinator& core, instant now) {
+                core.on_call(now, number, outcome, "token", connection_number{connection});
+            });
+        });
+    }
     template <class Call>
     void carry_out(std::size_t i, const Call& it)
     {
         const auto life = hosts_[i].life;
         auto* server = server_at(it.holder);
         const auto index = static_cast<std::size_t>(server - servers_.data());
-        const auto tell = [this, i, life, number = it.number](duration after,
-                                                              call_outcome outcome) {
-            later(after, [this, i, life, number, outcome] {
-                answer(i, life, [number, outcome](coordinator& core, instant now) {
-                    core.on_call(now, number, outcome, "token");
-                });
-            });
+        auto& open = hosts_[i].open_connection[index];
+        if (connection_limit(it) != 0 && (open == 0 || open > connection_limit(it))) {
+            tell_call(i, life, it.number, millis{0}, call_outcome::not_sent, 0);
+            return;
+        }
+        const auto was_open = open;
+        if (open == 0) {
+            open = ++last_connection_;
+        }
+        const auto tell = [this, i, life, number = it.number,
+                           connection = open](duration after, call_outcome outcome) {
+            tell_call(i, life, number, after, outcome, connection);
         };
         if (hosts_[i].cut_from_server[index] || !server->up) {
             // On an open connection the bytes went out, and die with its reset.
-            auto open = hosts_[i].open_connection[index];
-            tell(it.timeout, open ? call_outcome::unknown : call_outcome::not_sent);
-            open = false;
+            tell(it.timeout, was_open != 0 ? call_outcome::unknown : call_outcome::not_sent);
+            open = 0;
             return;
         }
-        hosts_[i].open_connection[index] = true;
         const bool late = chance() < calls_late_;
         later(between(millis{1}, millis{20}), [this, it, server, tell, late] {
             const auto arrived = now_;
@@ -479,7 +493,10 @@
         }
         server.up = false;
         server.forget();
-        for_a_while(seconds{2}, seconds{5}, [this, s] {
+        for (auto& host : hosts_) {
+            host.open_connection[s] = 0;
+        }
+        for_a_while(millis{100}, seconds{5}, [this, s] {
             servers_[s].up = true;
             ++servers_[s].self.start.value;
         });
@@ -524,6 +541,7 @@
     instant now_{seconds{100}};
     std::priority_queue<event, std::vector<event>, std::greater<>> events_;
     std::uint64_t order_{};
+    std::uint64_t last_connection_{};
     std::optional<assignment_table> stored_;
     std::uint64_t end_{};
     bool store_down_{};
--- a/tests/auto/assignment/coordinator_test.cpp
+++ b/tests/auto/assignment/coordinator_test.cpp
@@ -52,10 +52,10 @@
                 it.on_append(now, fits ? append_outcome::appended : append_outcome::conflict);
             } else if (const auto* grant = std::get_if<grant_keys>(&effect)) {
                 grants.push_back(*grant);
-                it.on_call(now, grant->number, on_grant(*grant), "");
+                it.on_call(now, grant->number, on_grant(*grant), "", connection_number{1});
             } else if (const auto* release = std::get_if<release_keys>(&effect)) {
                 releases.push_back(*release);
-                it.on_call(now, release->number, on_release(*release), "token");
+                it.on_call(now, release->number, on_release(*release), "token", {});
             }
         }
     }
