The relay of the tests passes on what arrived before an end closed

The host was right to refuse: its pair's standby was in the other data centre. Pairs were not brought home before the cut because hosts behind a relay took the log for unreachable: the stand-in relay freed both ends when one had closed, with the rest of the answer still in its output. Change: the relay writes out what it holds, then closes. The test waits until leader and standby of every server act at home, then asks for keys of both servers of the cut side (before: after a fixed sleep, of one).

--- a/tests/failures/failures_test.cpp
+++ b/tests/failures/failures_test.cpp
@@ -144,20 +144,42 @@
     }
 }
 
+// Reads of the log were cut short by the relay, so that hosts behind it took the log for lost.
+TEST_CASE("failure: a relay that cuts nothing passes every answer whole")
+{
+    process_fleet fleet{{.data_centres = 1, .hosts_each = 1, .servers_each = 1, .relays = true}};
+    REQUIRE(fleet.wait_served());
+    const std::string data(200'000, 'x');
+    const auto put = http_call_and_wait({.method = "POST",
+                                         .address = fleet.platform_address(),
+                                         .path = "/streams/relayed",
+                                         .body = data});
+    REQUIRE(put.status == 200);
+    for (int i = 0; i < 200; ++i) {
+        const auto answer = http_call_and_wait(
+            {.address = fleet.platform_relay(0), .path = "/streams/relayed?from=1&max=10"});
+        REQUIRE(answer.status == 200);
+        REQUIRE(answer.body.size() > data.size());
+    }
+}
+
 TEST_CASE("failure: a data centre is cut from all others and the platform")
 {
     process_fleet fleet{{.data_centres = 2, .hosts_each = 3, .servers_each = 2, .relays = true}};
     REQUIRE(fleet.wait_served());
+    REQUIRE(fleet.wait_paired_at_home());
     deposit_load here{fleet, callers / 2, options().seed, {0, 1, 2}};
     deposit_load there{fleet, callers / 2, options().seed + 1, {3, 4, 5}};
     pause_for(millis{700});
     fleet.cut(1, true);
     pause_for(millis{1500});
     // Each side goes on with its own servers.
-    const auto boat = boat_of(fleet, 4, 2);
-    const auto answer =
-        http_call_and_wait({.address = fleet.callers(4), .path = "/boats/" + boat + "/state"});
-    CHECK(answer.status == 200);
+    for (const int server : {2, 3}) {
+        const auto boat = boat_of(fleet, 4, server);
+        const auto answer =
+            http_call_and_wait({.address = fleet.callers(4), .path = "/boats/" + boat + "/state"});
+        CHECK_MESSAGE(answer.status == 200, answer.body);
+    }
     pause_for(millis{2500});
     fleet.cut(1, false);
     pause_for(millis{4000});
--- a/tests/failures/process_fleet.cpp
+++ b/tests/failures/process_fleet.cpp
@@ -213,6 +213,16 @@
     return at("127.0.0.1", port(operators_at + host));
 }
 
+std::string process_fleet::platform_address() const
+{
+    return at("127.0.0.1", port(platform_at));
+}
+
+std::string process_fleet::platform_relay(int data_centre) const
+{
+    return at("127.0.0.1", port(platform_relays_at + data_centre));
+}
+
 std::string process_fleet::write_settings(int host) const
 {
     const int data_centre = host / layout_.hosts_each;
@@ -256,15 +266,8 @@
     const auto until = std::chrono::steady_clock::now() + most;
     while (std::chrono::steady_clock::now() < until) {
         int serving = 0;
-        for (int i = 0; i < hosts(); ++i) {
-            const auto answer = status(i);
-            const auto it = json::parse(answer.body, nullptr, false);
-            if (answer.status != 200 || it.is_discarded() || !it.contains("pairs")) {
-                continue;
-            }
-            for (const auto& pair : it["pairs"]) {
-                serving += pair["acting"].get<bool>() ? pair["shards"].value("serving", 0) : 0;
-            }
+        for (const auto& [server, pair] : acting_pairs()) {
+            serving += pair["shards"].value("serving", 0);
         }
         constexpr int shards = 24;
         if (serving == shards) {
@@ -275,6 +278,48 @@
     return false;
 }
 
+bool process_fleet::wait_paired_at_home(seconds most)
+{
+    const auto until = std::chrono::steady_clock::now() + most;
+    while (std::chrono::steady_clock::now() < until) {
+        const auto pairs = acting_pairs();
+        int home = 0;
+        for (int i = 0; i < servers(); ++i) {
+            const auto it = pairs.find(server_name(i));
+            home += it != pairs.end() && at_home(i, it->second) ? 1 : 0;
+        }
+        if (home == servers()) {
+            return true;
+        }
+        std::this_thread::sleep_for(millis{50});
+    }
+    return false;
+}
+
+std::map<std::string, json> process_fleet::acting_pairs() const
+{
+    std::map<std::string, json> out;
+    for (int i = 0; i < hosts(); ++i) {
+        const auto answer = status(i);
+        const auto it = json::parse(answer.body, nullptr, false);
+        if (answer.status != 200 || it.is_discarded() || !it.contains("pairs")) {
+            continue;
+        }
+        for (const auto& [server, pair] : it["pairs"].items()) {
+            if (pair["acting"].get<bool>()) {
+                out[server] = pair;
+            }
+        }
+    }
+    return out;
+}
+
+bool process_fleet::at_home(int server, const json& pair) const
+{
+    const auto ip = "127.0." + std::to_string(1 + server / layout_.servers_each) + ".";
+    return pair.value("leader", "").starts_with(ip) && pair.value("standby", "").starts_with(ip);
+}
+
 int process_fleet::leader_of(int server) const
 {
     for (int i = 0; i < hosts(); ++i) {
--- a/tests/failures/process_fleet.hpp
+++ b/tests/failures/process_fleet.hpp
@@ -3,6 +3,7 @@
 #include "quincewing/net/http_call.hpp"
 
 #include <map>
+#include <nlohmann/json.hpp>
 #include <string>
 #include <sys/types.h>
 #include <vector>
@@ -63,6 +64,9 @@
     void start_host(int i);
     /// Waits until every host serves every server's shards; false after some time.
     bool wait_served(seconds most = seconds{20});
+    /// Waits until leader and standby of every server act and are hosts of its own data centre;
+    /// false after some time.
+    bool wait_paired_at_home(seconds most = seconds{20});
 
     child_process& platform() { return processes_.at("platform"); }
     child_process& server(int i) { return processes_.at("server" + std::to_string(i)); }
@@ -74,6 +78,9 @@
     [[nodiscard]] int servers() const { return layout_.data_centres * layout_.servers_each; }
     [[nodiscard]] std::string callers(int host) const;
     [[nodiscard]] std::string operators(int host) const;
+    /// Where the platform itself listens, and where the relay to it does.
+    [[nodiscard]] std::string platform_address() const;
+    [[nodiscard]] std::string platform_relay(int data_centre) const;
     void control_platform(const std::string& query) const;
     /// Cuts the hosts of this data centre from all others and from the platform, or heals.
     void cut(int data_centre, bool on) const;
@@ -87,6 +94,9 @@
 
 private:
     [[nodiscard]] std::string host_ip(int host) const;
+    /// Pairs that act, by server, as their leaders tell them.
+    [[nodiscard]] std::map<std::string, nlohmann::json> acting_pairs() const;
+    [[nodiscard]] bool at_home(int server, const nlohmann::json& pair) const;
     [[nodiscard]] std::string write_settings(int host) const;
     void start(const std::string& name, const std::vector<std::string>& arguments);
     [[nodiscard]] int port(int offset) const { return base_port_ + offset; }
--- a/tests/standins/relay_standin.cpp
+++ b/tests/standins/relay_standin.cpp
@@ -26,6 +26,8 @@
     bufferevent* far{};
     std::string from;
     bool silent{};
+    /// One end has closed; the other still gets what had arrived before.
+    bool ending{};
 };
 
 class relay
@@ -116,7 +118,8 @@
         bufferevent_write_buffer(from == it.near ? it.far : it.near, in);
     }
 
-    static void on_event(bufferevent* /*from*/, short events, void* arg)
+    // What one end sent before it closed still reaches the other: an answer may end so.
+    static void on_event(bufferevent* from, short events, void* arg)
     {
         auto* it = static_cast<relayed*>(arg);
         if ((events & BEV_EVENT_CONNECTED) != 0) {
@@ -126,6 +129,21 @@
         if (it->silent) {
             return;
         }
+        auto* to = from == it->near ? it->far : it->near;
+        const bool pending = evbuffer_get_length(bufferevent_get_output(to)) > 0;
+        if ((events & BEV_EVENT_EOF) == 0 || !pending || it->ending) {
+            close(it);
+            return;
+        }
+        it->ending = true;
+        bufferevent_disable(from, EV_READ);
+        bufferevent_setcb(to, on_read, on_drained, on_event, it);
+    }
+
+    static void on_drained(bufferevent* /*to*/, void* arg) { close(static_cast<relayed*>(arg)); }
+
+    static void close(relayed* it)
+    {
         auto& open = it->owner->open_;
         bufferevent_free(it->near);
         bufferevent_free(it->far);
