The coordinator tells what changed, not all it knows

Cause: on the grown sites the news of each change was the whole table and the whole list of servers, to every host: 250 to 420 ranges and 316 to 421 servers to 71 and 80 hosts, also for each grant that came into force. The coordinator's link and processor (0.1 to 0.5 cores, 10 to 200 Mbit/s) were full for seconds: DRAIN and CONFIG broken at hosts that heard late.

--- a/include/quincewing/assignment/assignment_table.hpp
+++ b/include/quincewing/assignment/assignment_table.hpp
@@ -60,6 +60,7 @@
     /// Held the keys before; none once it is proved that it does not any more.
     key_holder previous;
 
+    bool operator==(const assigned_range&) const = default;
     template <class F>
     void each_field(F&& f)
     {
--- a/include/quincewing/wire/messages.hpp
+++ b/include/quincewing/wire/messages.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
-#include "quincewing/assignment/assignment_table.hpp"
+#include "quincewing/assignment/table_change.hpp"
+#include "quincewing/deployment/server_changes.hpp"
 #include "quincewing/dispatch/work_request.hpp"
 #include "quincewing/ledger/ledger_item.hpp"
 #include "quincewing/ownership/pair_messages.hpp"
@@ -286,6 +287,9 @@
     /// The operators' configuration as the store holds it, and its key there.
     std::optional<std::string> configuration;
     std::string configuration_key;
+    /// In place of the whole table or list, when the receiver is taken to know the earlier one.
+    std::optional<table_change> table_changes;
+    std::optional<server_changes> servers_changes;
 
     template <class F>
     void each_field(F&& f)
@@ -296,6 +300,8 @@
         f(servers);
         f(configuration);
         f(configuration_key);
+        f(table_changes);
+        f(servers_changes);
     }
 };
 
--- a/src/plugins/entry/coordination_task.cpp
+++ b/src/plugins/entry/coordination_task.cpp
@@ -19,6 +19,8 @@
 constexpr millis servers_too_old{1600};
 constexpr millis configuration_too_old{4000};
 constexpr millis request_pause{150};
+// What one host costs the coordinator's link and processor; changes are gathered for as long.
+constexpr millis spread_pause_for_host{1};
 // The one record of the assignment stream.
 constexpr const char* table_key = "table";
 
@@ -283,21 +285,35 @@
             .configuration_age = micros(follower_.configuration_age(now))};
 }
 
+// What was told, not what will be told next: else every host would ask for it.
+coordinator_beat coordination_task::told_versions(instant now) const
+{
+    auto out = versions(now);
+    out.term = spread_.term;
+    out.table_revision = spread_.table_revision;
+    out.held_revision = spread_.held_revision;
+    out.servers_changed = spread_.servers_changed;
+    out.configuration = spread_.configuration;
+    return out;
+}
+
 void coordination_task::send_beats(instant now)
 {
-    const auto beat = versions(now);
+    const auto beat = told_versions(now);
     for (const auto& host : peers_.connected_hosts()) {
         peers_.send(host, beat);
     }
 }
 
-// Hosts hear of a change at once; a host that missed one asks when a beat shows it.
+// Hosts hear of a change at once, unless the one before has hardly gone out to all of them; a host
+// that missed one asks when a beat shows it.
 void coordination_task::spread_changes()
 {
-    if (!core_.coordinating()) {
+    const auto at = monotonic_now();
+    if (!core_.coordinating() || at < next_spread_) {
         return;
     }
-    const auto now = versions(monotonic_now());
+    const auto now = versions(at);
     const bool changed = now.term != spread_.term || now.table_revision != spread_.table_revision ||
                          now.held_revision != spread_.held_revision ||
                          now.servers_changed != spread_.servers_changed ||
@@ -305,31 +321,48 @@
     if (!changed) {
         return;
     }
-    for (const auto& host : peers_.connected_hosts()) {
-        send_news(host, false);
-    }
+    next_spread_ = at + spread_pause_for_host * static_cast<int>(peers_.connected_hosts().size());
+    send_changes(now);
     spread_ = now;
+    spread_table_ = core_.table();
+    spread_servers_ = follower_.directory().servers();
+    spread_held_ = held_;
 }
 
-void coordination_task::send_news(const host_id& to, bool all)
+void coordination_task::send_changes(const coordinator_beat& now)
 {
-    coordinator_news it{.versions = versions(monotonic_now())};
-    const bool table = all || it.versions.term != spread_.term ||
-                       it.versions.table_revision != spread_.table_revision;
+    coordinator_news it{.versions = now};
+    const bool table = now.term != spread_.term || now.table_revision != spread_.table_revision;
     if (table) {
-        it.table = core_.table();
+        it.table_changes = difference(spread_table_, core_.table());
     }
-    if (table || it.versions.held_revision != spread_.held_revision) {
+    if (table || now.held_revision != spread_.held_revision) {
         it.held = held_;
     }
-    if (all || it.versions.servers_changed != spread_.servers_changed) {
-        it.servers.emplace();
-        for (const auto& [id, server] : follower_.directory().servers()) {
-            it.servers->push_back(server);
-        }
+    if (now.servers_changed != spread_.servers_changed) {
+        it.servers_changes =
+            difference(spread_.servers_changed, spread_servers_, follower_.directory().servers());
     }
     const auto& record = follower_.configuration_record();
-    if (record.value && (all || it.versions.configuration != spread_.configuration)) {
+    if (record.value && now.configuration != spread_.configuration) {
+        it.configuration = record.value;
+        it.configuration_key = record.key;
+    }
+    for (const auto& host : peers_.connected_hosts()) {
+        peers_.send(host, it);
+    }
+}
+
+void coordination_task::send_all(const host_id& to)
+{
+    coordinator_news it{.versions = told_versions(monotonic_now()),
+                        .table = spread_table_,
+                        .held = spread_held_,
+                        .servers = std::vector<backend_server>{}};
+    for (const auto& [id, server] : spread_servers_) {
+        it.servers->push_back(server);
+    }
+    if (const auto& record = follower_.configuration_record(); record.value) {
         it.configuration = record.value;
         it.configuration_key = record.key;
     }
@@ -339,7 +372,8 @@
 void coordination_task::on_host_connected(const host_id& host)
 {
     if (core_.coordinating()) {
-        send_news(host, true);
+        spread_changes();
+        send_all(host);
     }
 }
 
@@ -374,7 +408,8 @@
 void coordination_task::on_message(const host_id& from, const news_request&)
 {
     if (core_.coordinating()) {
-        send_news(from, true);
+        spread_changes();
+        send_all(from);
     }
 }
 
@@ -384,15 +419,13 @@
     if (it.versions.term < core_.table().term) {
         return;
     }
-    if (it.table) {
-        core_.on_sign_of_coordinator(now, *it.table, duration{it.versions.table_age});
-        carry_out();
-    }
+    take_table(now, it);
     if (core_.coordinating()) {
         return;
     }
     heard_from_ = from;
     heard_at_ = now;
+    const auto held = heard_.held_revision;
     heard_ = it.versions;
     publish_table(now);
     const bool same_table = it.versions.table_revision == core_.table().revision &&
@@ -406,17 +439,43 @@
         }
         context_.view.apply_table(core_.table(), held_);
         hooks_.on_table();
+    } else if (it.held) {
+        // The next beat shows that this was missed.
+        heard_.held_revision = held;
     }
-    if (it.servers) {
-        follower_.on_relayed_servers(*it.servers, log_offset{it.versions.servers_read},
-                                     log_offset{it.versions.servers_changed});
-    }
+    take_servers(it);
     if (it.configuration) {
         follower_.on_relayed_configuration(
             {.key = it.configuration_key, .value = it.configuration});
     }
 }
 
+// Changes against a state that this host does not have are left; the next beat makes it ask.
+void coordination_task::take_table(instant now, const coordinator_news& it)
+{
+    auto table = it.table;
+    if (!table && it.table_changes) {
+        table = changed_table(core_.table(), *it.table_changes);
+    }
+    if (table) {
+        core_.on_sign_of_coordinator(now, *table, duration{it.versions.table_age});
+        carry_out();
+    }
+}
+
+void coordination_task::take_servers(const coordinator_news& it)
+{
+    const auto& own = follower_.directory();
+    auto servers = it.servers;
+    if (!servers && it.servers_changes && it.servers_changes->from == own.changed().value) {
+        servers = changed_servers(own.servers(), *it.servers_changes);
+    }
+    if (servers) {
+        follower_.on_relayed_servers(*servers, log_offset{it.versions.servers_read},
+                                     log_offset{it.versions.servers_changed});
+    }
+}
+
 // ---- load
 
 void coordination_task::note_request(const service_id& service, key_number key)
--- a/src/plugins/entry/coordination_task.hpp
+++ b/src/plugins/entry/coordination_task.hpp
@@ -57,8 +57,12 @@
     void refresh_held(instant now);
     [[nodiscard]] coordinator_beat versions(instant now) const;
     void send_beats(instant now);
-    void send_news(const host_id& to, bool all);
+    [[nodiscard]] coordinator_beat told_versions(instant now) const;
+    void send_all(const host_id& to);
+    void send_changes(const coordinator_beat& now);
     void spread_changes();
+    void take_table(instant now, const coordinator_news& it);
+    void take_servers(const coordinator_news& it);
     void send_report();
     void log_balance(instant now);
     [[nodiscard]] std::size_t rank() const;
@@ -73,7 +77,12 @@
     std::uint64_t published_table_{};
     std::uint64_t published_term_{};
     std::uint64_t published_held_{};
+    /// What all hosts were told last; changes are told against it.
     coordinator_beat spread_;
+    assignment_table spread_table_;
+    backend_servers spread_servers_;
+    std::vector<std::uint8_t> spread_held_;
+    instant next_spread_{};
     instant next_beat_{};
     instant next_report_{};
     instant next_balance_log_{};
