At the bound of ranges keys are still balanced

Ruled out: neighbours that were not joined (they have different owners). Change: at the bound whole ranges still move, only cutting stops; the bound is 400 of a service (what one host can renew) or two a server. Test: balance, at the bound of ranges (seen red without the change).

--- a/include/quincewing/assignment/balance_planner.hpp
+++ b/include/quincewing/assignment/balance_planner.hpp
@@ -20,8 +20,10 @@
     double certainty{2.0};
     /// Moves of one plan: each one stops its keys for about one request's time.
     std::size_t most_moves{8};
-    /// Ranges for each server, at most; each is renewed by a call of its own.
-    std::size_t ranges_per_server{10};
+    /// Ranges of a service, at most: each is renewed by a call of its own, so they are bounded by
+    /// what one host can renew, but for two a server.
+    std::size_t ranges_most{400};
+    std::size_t ranges_per_server{2};
     /// Pieces into which the keys of a lost server are divided.
     std::size_t pieces{4};
     /// Requests a second on all keys of a service that are assumed beside what was seen, so that
--- a/src/libs/assignment/balance_planner.cpp
+++ b/src/libs/assignment/balance_planner.cpp
@@ -209,8 +209,7 @@
     void relieve_busy_servers()
     {
         std::set<server_id> stuck;
-        while (moves_.size() < options_.most_moves &&
-               range_count_ < options_.ranges_per_server * servers_.size()) {
+        while (moves_.size() < options_.most_moves) {
             auto* from = busiest_except(stuck);
             if (from == nullptr || !too_busy(*from)) {
                 return;
@@ -223,6 +222,11 @@
         }
     }
 
+    [[nodiscard]] std::size_t most_ranges() const
+    {
+        return std::max(options_.ranges_most, options_.ranges_per_server * servers_.size());
+    }
+
     server_load* busiest_except(const std::set<server_id>& left_out)
     {
         server_load* best = nullptr;
@@ -241,10 +245,13 @@
     }
 
     /// Parts of a range that could go: all of it, and what lies before and after the key at which
-    /// about this rate is reached.
+    /// about this rate is reached. At the bound of ranges none is cut any more.
     [[nodiscard]] std::vector<key_range> pieces_of(key_range whole, double rate) const
     {
         std::vector<key_range> out{whole};
+        if (range_count_ >= most_ranges()) {
+            return out;
+        }
         const auto cut = split_at(whole, rate);
         if (cut < whole.last) {
             out.push_back({whole.first, cut});
@@ -290,13 +297,14 @@
         from.ranges.erase(range);
         if (whole.first < piece.first) {
             from.ranges.push_back({whole.first, static_cast<key_number>(piece.first - 1)});
+            ++range_count_;
         }
         if (piece.last < whole.last) {
             from.ranges.push_back({static_cast<key_number>(piece.last + 1), whole.last});
+            ++range_count_;
         }
         from.rate -= rate_of(piece);
         from.samples = std::max(0.0, from.samples - input_.load.samples(service_, piece));
-        ++range_count_;
     }
 
     const balance_input& input_;
--- a/tests/auto/assignment/balance_planner_test.cpp
+++ b/tests/auto/assignment/balance_planner_test.cpp
@@ -192,3 +192,29 @@
         }
     }
 }
+
+// Seen on the bench: at the bound a server stayed at 2% of its slots beside one at 220%.
+TEST_CASE("balance: at the bound of ranges whole ranges still move, and none is cut")
+{
+    keyed_load it{testing::options().seed, 2};
+    it.table.ranges.clear();
+    for (std::uint32_t first = 0; first < key_count; first += 8192) {
+        const auto owner = server_id{first + 8192 < key_count ? "s0" : "s1"};
+        it.table.ranges.push_back(
+            {.service = keyed,
+             .keys = {static_cast<key_number>(first), static_cast<key_number>(first + 8191)},
+             .owner = {.id = owner, .start = server_start{1}},
+             .fence = 1});
+        it.load.add(keyed, static_cast<key_number>(first + 100), owner.value == "s0" ? 8 : 0,
+                    it.now);
+    }
+    const auto before = it.table.ranges.size();
+    const balance_options options{.ranges_most = before, .ranges_per_server = 1};
+    const auto moves = plan_moves(
+        {.table = it.table, .ready = it.ready, .load = it.load, .services = {keyed}}, options);
+    REQUIRE_FALSE(moves.empty());
+    for (const auto& move : moves) {
+        CHECK(move.to == server_id{"s1"});
+        CHECK(move.keys.size() == 8192);
+    }
+}
