A host that once read by itself hears of servers again

Change: behind is whoever has another list and does not reach further; a change is taken only by a host whose list is as it was told. A host that reads for itself alone does so every 700 ms again, the coordinator every 350 ms. The line about the coordinator, lost and regained, is new. Tests: directory, a host that read by itself; changes are told to those only (the first seen red with the old rule).

--- a/include/quincewing/deployment/server_directory.hpp
+++ b/include/quincewing/deployment/server_directory.hpp
@@ -41,6 +41,12 @@
                     log_offset changed);
     /// The other host's knowledge is the same and reaches further.
     void on_confirmed(log_offset read) { read_ = std::max(read_, read); }
+    /// Whether another host's knowledge, by its offsets, is not the own and reaches at least as
+    /// far.
+    [[nodiscard]] bool behind(log_offset read, log_offset changed) const
+    {
+        return changed != changed_ && read >= read_;
+    }
     /// Carries out removals that had to wait.
     void tick(instant now);
 
@@ -50,6 +56,8 @@
     /// Offset by which the servers last changed.
     [[nodiscard]] log_offset changed() const { return changed_; }
     [[nodiscard]] bool known() const { return known_; }
+    /// The servers are as another host told them: no read of the own has changed them since.
+    [[nodiscard]] bool relayed() const { return relayed_; }
 
 private:
     void take(instant now, const store_record& record);
@@ -65,6 +73,7 @@
     log_offset changed_;
     instant trouble_{};
     bool known_{};
+    bool relayed_{};
 };
 
 } // namespace quincewing
--- a/src/libs/deployment/server_directory.cpp
+++ b/src/libs/deployment/server_directory.cpp
@@ -63,6 +63,7 @@
     read_ = read;
     changed_ = changed;
     known_ = true;
+    relayed_ = true;
     return true;
 }
 
@@ -126,6 +127,7 @@
 void server_directory::note_change(log_offset at)
 {
     changed_ = std::max(log_offset{changed_.value + 1}, at);
+    relayed_ = false;
 }
 
 } // namespace quincewing
--- a/src/plugins/entry/coordination_task.cpp
+++ b/src/plugins/entry/coordination_task.cpp
@@ -111,7 +111,18 @@
         next_report_ = now + report_period;
         send_report();
     }
-    follower_.set_reading(core_.coordinating() || !hears_coordinator(now));
+    const bool hears = core_.coordinating() || hears_coordinator(now);
+    if (hears != hears_) {
+        hears_ = hears;
+        log_event("dependency", {{"name", "coordinator"},
+                                 {"host", heard_from_.value},
+                                 {"state", hears ? "regained" : "lost"},
+                                 {"silent", now - heard_at_},
+                                 {"servers_age", duration{heard_.servers_age}},
+                                 {"configuration_age", duration{heard_.configuration_age}}});
+    }
+    const auto alone = hears ? reading_for::nobody : reading_for::itself;
+    follower_.set_reading(core_.coordinating() ? reading_for::all : alone);
 }
 
 void coordination_task::stop(instant now)
@@ -387,10 +398,11 @@
     heard_from_ = from;
     heard_at_ = now;
     const bool same_servers = it.servers_changed == follower_.directory().changed().value;
-    const bool behind = it.term != table.term || it.table_revision != table.revision ||
-                        it.held_revision != heard_.held_revision ||
-                        it.servers_changed > follower_.directory().changed().value ||
-                        it.configuration > context_.view.routes().current().version.value;
+    const bool behind =
+        it.term != table.term || it.table_revision != table.revision ||
+        it.held_revision != heard_.held_revision ||
+        follower_.directory().behind(log_offset{it.servers_read}, log_offset{it.servers_changed}) ||
+        it.configuration > context_.view.routes().current().version.value;
     if (same_servers) {
         follower_.confirm_servers(log_offset{it.servers_read});
     }
@@ -467,7 +479,9 @@
 {
     const auto& own = follower_.directory();
     auto servers = it.servers;
-    if (!servers && it.servers_changes && it.servers_changes->from == own.changed().value) {
+    const bool fits =
+        own.relayed() && it.servers_changes && it.servers_changes->from == own.changed().value;
+    if (!servers && fits) {
         servers = changed_servers(own.servers(), *it.servers_changes);
     }
     if (servers) {
--- a/src/plugins/entry/coordination_task.hpp
+++ b/src/plugins/entry/coordination_task.hpp
@@ -90,6 +90,7 @@
     coordinator_beat heard_;
     host_id heard_from_;
     instant heard_at_{};
+    bool hears_{true};
     instant next_request_{};
     std::map<std::pair<service_id, key_number>, std::uint32_t> requests_;
     struct work_sum
--- a/src/plugins/entry/store_follower.cpp
+++ b/src/plugins/entry/store_follower.cpp
@@ -10,6 +10,8 @@
 
 // Follows from the time in which a leaving server must get no more work, less the way of the news.
 constexpr millis servers_period{350};
+// Hosts that read only until they hear a coordinator again are many.
+constexpr millis servers_period_alone{700};
 // How long one read waits for a new configuration; a connection that went silent is found out
 // after this and the store's timeout.
 constexpr millis configuration_wait{1500};
@@ -30,8 +32,10 @@
 {
 }
 
-void store_follower::set_reading(bool on)
+void store_follower::set_reading(reading_for it)
 {
+    const bool on = it != reading_for::nobody;
+    servers_period_ = it == reading_for::all ? servers_period : servers_period_alone;
     if (on && !reading_) {
         next_servers_ = {};
         next_configuration_ = {};
@@ -89,7 +93,7 @@
         directory_.on_records(now, page.records, page.end);
     }
     const bool behind = directory_.read() < page.end && !page.records.empty();
-    next_servers_ = behind ? now : sent + servers_period;
+    next_servers_ = behind ? now : sent + servers_period_;
     if (!behind) {
         servers_sent_ = sent;
     }
--- a/src/plugins/entry/store_follower.hpp
+++ b/src/plugins/entry/store_follower.hpp
@@ -14,6 +14,16 @@
     std::function<void()> on_configuration;
 };
 
+/// For whom a host reads the store.
+enum class reading_for
+{
+    nobody,
+    /// It does not hear the coordinator.
+    itself,
+    /// It coordinates.
+    all
+};
+
 /// Reads the servers and the operators' configuration from the store, as often as it has to: the
 /// coordinator always, any other host while it does not hear from the coordinator.
 class store_follower
@@ -22,7 +32,7 @@
     store_follower(host_context context, store_follower_hooks hooks);
 
     /// Reads by itself, or leaves it to another host's news.
-    void set_reading(bool on);
+    void set_reading(reading_for it);
     /// News of another host. The record is the configuration as the store holds it.
     void on_relayed_servers(const std::vector<backend_server>& servers, log_offset read,
                             log_offset changed);
@@ -64,6 +74,7 @@
     bool configuration_busy_{};
     bool store_reachable_{true};
     duration pause_{millis{300}};
+    duration servers_period_{millis{350}};
     instant next_servers_{};
     instant next_configuration_{};
     instant servers_sent_{};
--- a/tests/auto/deployment/server_directory_test.cpp
+++ b/tests/auto/deployment/server_directory_test.cpp
@@ -74,3 +74,27 @@
     CHECK_FALSE(f.it.on_relayed({{.id = server_id{"a"}}}, log_offset{5}, log_offset{5}));
     CHECK(f.it.servers().at(server_id{"a"}).draining);
 }
+
+// Its own count of changes was ahead of the coordinator's, so it never asked again.
+TEST_CASE("directory: a host that read by itself is behind a host that reads further")
+{
+    directory_fixture f;
+    f.it.on_newest(f.now, {record("a", "1", 1), record("b", "2", 1), record("c", "3", 1)},
+                   log_offset{4});
+    const auto own = f.it.changed();
+    CHECK_FALSE(f.it.behind(log_offset{4}, own));
+    CHECK_FALSE(f.it.behind(log_offset{3}, log_offset{own.value + 1}));
+    CHECK(f.it.behind(log_offset{6}, log_offset{own.value + 1}));
+    CHECK(f.it.behind(log_offset{6}, log_offset{own.value - 1}));
+}
+
+TEST_CASE("directory: changes are told to those only whose servers are as they were told")
+{
+    directory_fixture f;
+    f.it.on_newest(f.now, {record("a", "1", 1)}, log_offset{4});
+    CHECK_FALSE(f.it.relayed());
+    REQUIRE(f.it.on_relayed({{.id = server_id{"b"}}}, log_offset{7}, log_offset{5}));
+    CHECK(f.it.relayed());
+    f.it.on_records(f.now, {record("b", nullptr, 8)}, log_offset{9});
+    CHECK_FALSE(f.it.relayed());
+}
