--- a/src/libs/http/client_connection.cpp
+++ b/src/libs/http/client_connection.cpp
@@ -1,6 +1,7 @@
 #include "quincewing/http/client_connection.hpp"
 
 #include "quincewing/net/endpoint.hpp"
+#include "quincewing/net/reset_on_close.hpp"
 
 #include <cerrno>
 #include <cstdlib>
@@ -14,13 +15,6 @@
 
 namespace {
 
-// A reset instead of an orderly close: what still waits to be sent is dropped.
-void reset_on_close(int fd)
-{
-    const linger it{.l_onoff = 1, .l_linger = 0};
-    setsockopt(fd, SOL_SOCKET, SO_LINGER, &it, sizeof it);
-}
-
 duration keep_alive_timeout(const header_list& headers)
 {
     const auto* value = find_header(headers, "Keep-Alive");
--- a/src/plugins/entry/caller_connection.cpp
+++ b/src/plugins/entry/caller_connection.cpp
@@ -1,5 +1,7 @@
 #include "caller_connection.hpp"
 
+#include "quincewing/net/reset_on_close.hpp"
+
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <netinet/in.h>
@@ -18,12 +20,6 @@
 // connection is seen among them.
 constexpr std::size_t read_ahead = 64UL * 1024;
 
-void reset_on_close(int fd)
-{
-    const linger it{.l_onoff = 1, .l_linger = 0};
-    setsockopt(fd, SOL_SOCKET, SO_LINGER, &it, sizeof it);
-}
-
 } // namespace
 
 caller_connection::caller_connection(event_loop& loop, int fd, caller_connection_options options,
