Hosts are told to know servers only as far as the list that they were told

Found by reading: while a change of servers waits to be told (up to 1 ms a host), a beat named the newest read, so that a host counted the untold change as known; had the coordinator ended then, the host would have read on behind it and sent requests to a server that leaves. Change: told_beat, pure; without an untold change nothing differs.

--- a/src/plugins/entry/coordination_task.cpp
+++ b/src/plugins/entry/coordination_task.cpp
@@ -2,6 +2,7 @@
 
 #include "quincewing/base/hash.hpp"
 #include "quincewing/logging/event_log.hpp"
+#include "quincewing/wire/told_beat.hpp"
 
 #include <algorithm>
 #include <variant>
@@ -296,21 +297,9 @@
             .configuration_age = micros(follower_.configuration_age(now))};
 }
 
-// What was told, not what will be told next: else every host would ask for it.
-coordinator_beat coordination_task::told_versions(instant now) const
-{
-    auto out = versions(now);
-    out.term = spread_.term;
-    out.table_revision = spread_.table_revision;
-    out.held_revision = spread_.held_revision;
-    out.servers_changed = spread_.servers_changed;
-    out.configuration = spread_.configuration;
-    return out;
-}
-
 void coordination_task::send_beats(instant now)
 {
-    const auto beat = told_versions(now);
+    const auto beat = told_beat(versions(now), spread_);
     for (const auto& host : peers_.connected_hosts()) {
         peers_.send(host, beat);
     }
@@ -366,7 +355,7 @@
 
 void coordination_task::send_all(const host_id& to)
 {
-    coordinator_news it{.versions = told_versions(monotonic_now()),
+    coordinator_news it{.versions = told_beat(versions(monotonic_now()), spread_),
                         .table = spread_table_,
                         .held = spread_held_,
                         .servers = std::vector<backend_server>{}};
--- a/src/plugins/entry/coordination_task.hpp
+++ b/src/plugins/entry/coordination_task.hpp
@@ -57,7 +57,6 @@
     void refresh_held(instant now);
     [[nodiscard]] coordinator_beat versions(instant now) const;
     void send_beats(instant now);
-    [[nodiscard]] coordinator_beat told_versions(instant now) const;
     void send_all(const host_id& to);
     void send_changes(const coordinator_beat& now);
     void spread_changes();
