--- /dev/null
+++ b/tests/auto/entry/small_deployment.cpp
@@ -0,0 +1,168 @@
+#include "small_deployment.hpp"
+
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace quincewing::testing {
+
+namespace {
+
+const service_id desk{"desk"};
+
+std::string loopback(int port)
+{
+    return "127.0.0.1:" + std::to_string(port);
+}
+
+configuration one_route()
+{
+    configuration out{.version = config_version{1}};
+    out.routes.push_back({.name = "all",
+                          .host = "desk.example",
+                          .path_prefix = "/",
+                          .timeout = seconds{5},
+                          .latency_objective = seconds{4},
+                          .shares = {{.service = desk}}});
+    out.services[desk] = {};
+    return out;
+}
+
+} // namespace
+
+int free_port()
+{
+    const int fd = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in at{};
+    at.sin_family = AF_INET;
+    at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    const bool bound = bind(fd, reinterpret_cast<sockaddr*>(&at), sizeof at) == 0;
+    socklen_t n = sizeof at;
+    getsockname(fd, reinterpret_cast<sockaddr*>(&at), &n);
+    close(fd);
+    return bound ? ntohs(at.sin_port) : 0;
+}
+
+small_deployment::small_deployment(event_loop& loop, duration work) : loop_(loop), work_(work)
+{
+    const int port = free_port();
+    server_address_ = loopback(port);
+    server_ = evhttp_new(loop.base());
+    evhttp_set_allowed_methods(server_, EVHTTP_REQ_GET | EVHTTP_REQ_POST);
+    const auto on_call = [](evhttp_request* request, void* arg) {
+        static_cast<small_deployment*>(arg)->on_request(request);
+    };
+    evhttp_set_gencb(server_, on_call, this);
+    evhttp_bind_socket(server_, "127.0.0.1", static_cast<std::uint16_t>(port));
+    settings_.name = "h1";
+    settings_.data_centre = "dc";
+    settings_.callers = loopback(free_port());
+    settings_.readiness = loopback(free_port());
+    settings_.peers = loopback(free_port());
+    settings_.metrics = loopback(free_port());
+    append(store_stream::configuration, {.key = "wanted", .value = "1"}, {});
+    append(store_stream::servers, {.key = "s1", .value = server_address_}, {});
+}
+
+small_deployment::~small_deployment()
+{
+    runs_.clear();
+    evhttp_free(server_);
+}
+
+deployment_api small_deployment::api()
+{
+    deployment_api out;
+    out.store.newest = [this](store_stream name, std::function<void(store_page)> done) {
+        answer_later([this, name, done = std::move(done)] { done(page_of(name, log_offset{0})); });
+    };
+    out.store.read = [this](store_stream name, log_offset from, duration,
+                            std::function<void(store_page)> done) {
+        answer_later([this, name, from, done = std::move(done)] { done(page_of(name, from)); });
+    };
+    out.store.append = [this](store_stream name, store_record record, std::optional<log_offset> at,
+                              std::function<void(store_append)> done) {
+        const auto result = append(name, std::move(record), at);
+        answer_later([result, done = std::move(done)] { done(result); });
+    };
+    out.keys.grant = [](const grant_keys&, const auto& done) {
+        done(call_outcome::not_sent, connection_number{});
+    };
+    out.keys.release = [](const release_keys&, const auto& done) {
+        done(call_outcome::not_sent, "");
+    };
+    out.names = {.request_id = "X-Request",
+                 .time_left = "X-Time-Left",
+                 .target_server = "X-Target",
+                 .not_run = "X-Not-Run",
+                 .server_load = "X-Load",
+                 .key = "X-Key",
+                 .answer_mark = "X-Mark",
+                 .readiness_path = "/ready"};
+    out.decode_server = [](const store_record& it) -> tl::expected<backend_server, std::string> {
+        return backend_server{.id = server_id{it.key},
+                              .start = server_start{1},
+                              .address = it.value.value_or(""),
+                              .service = desk,
+                              .data_centre = data_centre_id{"dc"},
+                              .slots = 8};
+    };
+    out.decode_configuration = [](const store_record&) -> tl::expected<configuration, std::string> {
+        return one_route();
+    };
+    out.is_configuration = [](const store_record&) { return true; };
+    return out;
+}
+
+void small_deployment::answer_later(std::function<void()> answer)
+{
+    answers_.push_back(std::make_unique<timer>(loop_, std::move(answer)));
+    answers_.back()->once(millis{2});
+}
+
+store_page small_deployment::page_of(store_stream name, log_offset from)
+{
+    store_page out{.status = store_status::ok};
+    const auto& records = streams_[name].records;
+    for (std::size_t i = from.value; i < records.size(); ++i) {
+        out.records.push_back(records[i]);
+    }
+    out.end = log_offset{records.size()};
+    return out;
+}
+
+store_append small_deployment::append(store_stream name, store_record record,
+                                      std::optional<log_offset> at)
+{
+    auto& records = streams_[name].records;
+    if (at && at->value != records.size()) {
+        return {.status = store_status::conflict};
+    }
+    record.offset = log_offset{records.size()};
+    records.push_back(std::move(record));
+    return {.status = store_status::ok, .end = log_offset{records.size()}};
+}
+
+void small_deployment::on_request(evhttp_request* request)
+{
+    const auto* id = evhttp_find_header(evhttp_request_get_input_headers(request), "X-Request");
+    const std::string name = id == nullptr ? "" : id;
+    auto* in = evhttp_request_get_input_buffer(request);
+    std::string body(evbuffer_get_length(in), '\0');
+    evbuffer_remove(in, body.data(), body.size());
+    bodies[name] = body;
+    begun.insert(name);
+    runs_.push_back(std::make_unique<timer>(loop_, [request, name] {
+        auto* headers = evhttp_request_get_output_headers(request);
+        evhttp_add_header(headers, "X-Request", name.c_str());
+        evhttp_add_header(headers, "X-Mark", "s1");
+        auto* out = evbuffer_new();
+        evbuffer_add(out, name.data(), name.size());
+        evhttp_send_reply(request, 200, "OK", out);
+        evbuffer_free(out);
+    }));
+    runs_.back()->once(work_);
+}
+
+} // namespace quincewing::testing
