--- a/tests/auto/entry/entry_host_test.cpp
+++ b/tests/auto/entry/entry_host_test.cpp
@@ -50,15 +50,16 @@
         const auto head = "POST /x HTTP/1.1\r\nHost: desk.example\r\nX-Request: " + id_ +
                           "\r\nX-Time-Left: 5000\r\nContent-Length: " + std::to_string(id_.size()) +
                           "\r\n\r\n";
-        connection_->send(head, id_, true,
-                          {.on_head =
-                               [this](message_head& it) {
-                                   status_ = it.status;
-                                   return head_use::take;
-                               },
-                           .on_body = [this](const char* buf, std::size_t n) { body_.append(buf, n); },
-                           .on_end = [this](bool) { on_end(); },
-                           .on_lost = [this](connection_loss how) { on_lost(how); }});
+        connection_->send(
+            head, id_, true,
+            {.on_head =
+                 [this](message_head& it) {
+                     status_ = it.status;
+                     return head_use::take;
+                 },
+             .on_body = [this](const char* buf, std::size_t n) { body_.append(buf, n); },
+             .on_end = [this](bool) { on_end(); },
+             .on_lost = [this](connection_loss how) { on_lost(how); }});
     }
     void on_end()
     {
