--- a/include/quincewing/assignment/balance_planner.hpp
+++ b/include/quincewing/assignment/balance_planner.hpp
@@ -20,9 +20,10 @@
     double certainty{2.0};
     /// Moves of one plan: each one stops its keys for about one request's time.
     std::size_t most_moves{8};
-    /// Ranges of a service, at most: each is renewed by a call of its own, so they are bounded by
-    /// what one host can renew, but for two a server.
+    /// Most ranges of a service. Each is renewed by a call of its own once a second, so the bound
+    /// follows from the calls that one host can make.
     std::size_t ranges_most{400};
+    /// Services with many servers may have this many ranges a server instead, if that is more.
     std::size_t ranges_per_server{2};
     /// Pieces into which the keys of a lost server are divided.
     std::size_t pieces{4};
--- a/src/plugins/entry/store_follower.cpp
+++ b/src/plugins/entry/store_follower.cpp
@@ -15,7 +15,8 @@
 // How long one read waits for a new configuration; a connection that went silent is found out
 // after this and the store's timeout.
 constexpr millis configuration_wait{1500};
-// Pause after a read that failed, and after many: all hosts read when the coordinator is silent.
+// Pause after the first read that failed, and the longest after several: when the coordinator is
+// silent all hosts read, and a store in trouble must not get all of their retries.
 constexpr millis read_again{300};
 constexpr millis read_again_most{1200};
 
