Entry host: tests for requests lost at a stop, known red

What callers see: an entry host that stops closes connections whose requests it has read, without an answer.

--- a/src/plugins/entry/request_flow.cpp
+++ b/src/plugins/entry/request_flow.cpp
@@ -93,6 +93,8 @@
 
 request_flow::~request_flow()
 {
+    exchange_->on_disconnect = nullptr;
+    exchange_->on_writable = nullptr;
     if (connection_) {
         connection_->abort();
         services_.connections.discard(std::move(connection_));
--- a/tests/auto/entry/entry_host_test.cpp
+++ b/tests/auto/entry/entry_host_test.cpp
@@ -100,7 +100,7 @@
 TEST_CASE("entry host: a graceful stop leaves no executed request unanswered")
 {
     event_loop loop;
-    small_deployment deployment{loop, millis{400}};
+    small_deployment deployment{loop, {.service_time = millis{400}}};
     entry_host host{loop, deployment.settings(), deployment.api()};
     REQUIRE(host.start().empty());
     std::vector<std::unique_ptr<sequential_caller>> callers;
@@ -190,7 +190,7 @@
 TEST_CASE("entry host: pipelined requests are answered one by one, in order")
 {
     event_loop loop;
-    small_deployment deployment{loop, millis{30}};
+    small_deployment deployment{loop, {.service_time = millis{30}}};
     const auto got = exchange_raw(post("a", "Content-Length: 3\r\n", "aaa") +
                                       post("b", "Content-Length: 2\r\n", "bb"),
                                   deployment, loop);
@@ -206,7 +206,7 @@
 TEST_CASE("entry host: a request of ambiguous length is rejected, against request smuggling")
 {
     event_loop loop;
-    small_deployment deployment{loop, millis{30}};
+    small_deployment deployment{loop, {.service_time = millis{30}}};
     const auto smuggled = post("c", "Content-Length: 0\r\n", "");
     for (const auto* headers : {"Content-Length: 5\r\nTransfer-Encoding: chunked\r\n",
                                 "Content-Length: 5\r\nContent-Length: 6\r\n",
@@ -220,7 +220,7 @@
 TEST_CASE("entry host: an oversized body is rejected before it is received")
 {
     event_loop loop;
-    small_deployment deployment{loop, millis{30}};
+    small_deployment deployment{loop, {.service_time = millis{30}}};
     const auto got =
         exchange_raw(post("a", "Content-Length: 900000000\r\n", "begin"), deployment, loop);
     CHECK(got.starts_with("HTTP/1.1 413"));
--- /dev/null
+++ b/tests/auto/entry/entry_stop_test.cpp
@@ -0,0 +1,125 @@
+#include "raw_caller.hpp"
+#include "small_deployment.hpp"
+
+#include "quincewing/entry/entry_host.hpp"
+
+#include <doctest/doctest.h>
+#include <functional>
+#include <memory>
+#include <vector>
+
+using namespace quincewing;
+using namespace quincewing::testing;
+
+namespace {
+
+constexpr millis begin_after{500};
+constexpr millis stop_after{700};
+// Time that the process lives on after the stop, until its socket buffers are sent.
+constexpr millis exit_after_stop{150};
+
+/// An entry host that is stopped while these callers' requests are unanswered.
+class stop_run
+{
+public:
+    explicit stop_run(small_deployment_options options)
+        : deployment_(loop_, options), host_(loop_, deployment_.settings(), deployment_.api())
+    {
+    }
+
+    /// Sends these bytes on a connection of its own before the stop.
+    raw_caller& add_caller(std::string bytes)
+    {
+        callers_.push_back(std::make_unique<raw_caller>(loop_, deployment_.settings().callers));
+        callers_.back()->send(bytes);
+        return *callers_.back();
+    }
+
+    /// Starts the host, calls begin, stops the host and runs until its process would end.
+    void run(const std::function<void()>& begin)
+    {
+        REQUIRE(host_.start().empty());
+        timer begin_timer{loop_, begin};
+        begin_timer.once(begin_after);
+        timer exit{loop_, [&] { loop_.stop(); }};
+        timer stop{loop_, [&] {
+                       host_.stop([&] {
+                           stopped_ = true;
+                           exit.once(exit_after_stop);
+                       });
+                   }};
+        stop.once(stop_after);
+        timer test_timeout{loop_, [&] { loop_.stop(); }};
+        test_timeout.once(stop_after + deployment_.settings().bounds.grace);
+        loop_.run();
+        CHECK(stopped_);
+    }
+
+    [[nodiscard]] const small_deployment& deployment() const { return deployment_; }
+
+private:
+    event_loop loop_;
+    small_deployment deployment_;
+    entry_host host_;
+    std::vector<std::unique_ptr<raw_caller>> callers_;
+    bool stopped_{};
+};
+
+} // namespace
+
+// Guards against connections that close with the process while their requests wait for a slot.
+TEST_CASE("entry stop: requests that wait for a slot are refused before the host ends")
+{
+    constexpr int callers = 6;
+    stop_run it{{.service_time = seconds{20},
+                 .slots = 1,
+                 .route_timeout = seconds{30},
+                 .grace = seconds{2}}};
+    std::vector<raw_caller*> all;
+    it.run([&] {
+        for (int i = 0; i < callers; ++i) {
+            all.push_back(&it.add_caller(post_request("r" + std::to_string(i))));
+        }
+    });
+    const auto& executed = it.deployment().executed;
+    CHECK(executed.size() == 1);
+    for (int i = 0; i < callers; ++i) {
+        const auto id = "r" + std::to_string(i);
+        if (executed.contains(id)) {
+            continue;
+        }
+        CHECK_MESSAGE(all[i]->statuses() == "503", id, ": ", all[i]->received());
+        CHECK(all[i]->received().find("Retry-After: ") != std::string::npos);
+    }
+}
+
+// Guards against connections that close without an answer while a server works at the request.
+TEST_CASE("entry stop: a request that its server does not finish in time gets an answer")
+{
+    for (const auto retry : {retry_policy::at_most_once, retry_policy::idempotent}) {
+        stop_run it{{.service_time = seconds{20},
+                     .retry = retry,
+                     .route_timeout = seconds{30},
+                     .grace = seconds{2}}};
+        raw_caller* caller = nullptr;
+        it.run([&] { caller = &it.add_caller(post_request("a")); });
+        CHECK(it.deployment().executed.size() == 1);
+        // Not a promise that it did not run.
+        CHECK_MESSAGE(caller->statuses() == "502", caller->received());
+    }
+}
+
+// Guards against pipelined requests dropped at their servers because the answer before theirs
+// closes the connection.
+TEST_CASE("entry stop: pipelined requests that run at a server are answered")
+{
+    stop_run it{{.service_time = millis{600},
+                 .retry = retry_policy::idempotent,
+                 .route_timeout = seconds{30}}};
+    raw_caller* caller = nullptr;
+    it.run([&] {
+        caller = &it.add_caller(post_request("a") + post_request("b") + post_request("c"));
+    });
+    CHECK(it.deployment().executed.size() == 3);
+    CHECK_MESSAGE(caller->statuses() == "200 200 200", caller->received());
+}
--- /dev/null
+++ b/tests/auto/entry/raw_caller.hpp
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "quincewing/net/event_loop.hpp"
+
+#include <string>
+
+struct bufferevent;
+
+namespace quincewing::testing {
+
+/// A caller's connection on the test's event loop that sends bytes as they are given and collects
+/// what comes back.
+class raw_caller
+{
+public:
+    /// address: "ip:port" of the entry host.
+    raw_caller(event_loop& loop, const std::string& address);
+    ~raw_caller();
+    raw_caller(const raw_caller&) = delete;
+    raw_caller& operator=(const raw_caller&) = delete;
+
+    void send(const std::string& bytes);
+
+    /// All bytes received so far.
+    [[nodiscard]] const std::string& received() const { return received_; }
+    /// Status codes of the responses received so far, separated by spaces.
+    [[nodiscard]] std::string statuses() const;
+    [[nodiscard]] bool closed() const { return closed_; }
+
+private:
+    bufferevent* bev_;
+    std::string received_;
+    bool closed_{};
+};
+
+/// A POST request of this id whose body is the id.
+std::string post_request(const std::string& id);
+
+} // namespace quincewing::testing
--- a/tests/auto/entry/small_deployment.cpp
+++ b/tests/auto/entry/small_deployment.cpp
@@ -16,13 +16,14 @@
     return "127.0.0.1:" + std::to_string(port);
 }
 
-configuration one_route()
+configuration one_route(const small_deployment_options& options)
 {
     configuration out{.version = config_version{1}};
     out.routes.push_back({.name = "all",
                           .host = "desk.example",
                           .path_prefix = "/",
-                          .timeout = seconds{5},
+                          .retry = options.retry,
+                          .timeout = options.route_timeout,
                           .latency_objective = seconds{4},
                           .shares = {{.service = test_service}}});
     out.services[test_service] = {};
@@ -44,8 +45,8 @@
     return bound ? ntohs(at.sin_port) : 0;
 }
 
-small_deployment::small_deployment(event_loop& loop, duration service_time)
-    : loop_(loop), service_time_(service_time)
+small_deployment::small_deployment(event_loop& loop, small_deployment_options options)
+    : loop_(loop), options_(options)
 {
     const int port = free_port();
     server_address_ = loopback(port);
@@ -62,6 +63,7 @@
     settings_.readiness = loopback(free_port());
     settings_.peers = loopback(free_port());
     settings_.metrics = loopback(free_port());
+    settings_.bounds.grace = options.grace;
     append(store_stream::configuration, {.key = "wanted", .value = "1"}, {});
     append(store_stream::servers, {.key = "s1", .value = server_address_}, {});
 }
@@ -101,16 +103,18 @@
                  .key = "X-Key",
                  .response_signature = "X-Mark",
                  .readiness_path = "/ready"};
-    out.decode_server = [](const store_record& it) -> tl::expected<backend_server, std::string> {
+    out.decode_server = [slots = options_.slots](
+                            const store_record& it) -> tl::expected<backend_server, std::string> {
         return backend_server{.id = server_id{it.key},
                               .start = server_start{1},
                               .address = it.value.value_or(""),
                               .service = test_service,
                               .data_centre = data_centre_id{"dc"},
-                              .slots = 8};
+                              .slots = slots};
     };
-    out.decode_configuration = [](const store_record&) -> tl::expected<configuration, std::string> {
-        return one_route();
+    out.decode_configuration =
+        [options = options_](const store_record&) -> tl::expected<configuration, std::string> {
+        return one_route(options);
     };
     out.is_configuration = [](const store_record&) { return true; };
     return out;
@@ -163,7 +167,7 @@
         evhttp_send_reply(request, 200, "OK", out);
         evbuffer_free(out);
     }));
-    pending_runs_.back()->once(service_time_);
+    pending_runs_.back()->once(options_.service_time);
 }
 
 } // namespace quincewing::testing
--- a/tests/auto/entry/small_deployment.hpp
+++ b/tests/auto/entry/small_deployment.hpp
@@ -18,12 +18,24 @@
 /// A loopback port that is not in use.
 int free_port();
 
+struct small_deployment_options
+{
+    /// Time after which the server answers a request.
+    duration service_time{millis{30}};
+    /// Requests that the server runs at the same time.
+    std::uint32_t slots{8};
+    retry_policy retry{retry_policy::at_most_once};
+    duration route_timeout{seconds{5}};
+    /// Time from the stop signal until the process is killed.
+    duration grace{seconds{6}};
+};
+
 /// An in-memory store and one backend server on the test's event loop, for one entry host. Requests
-/// carry their id in X-Request; the server answers each after service_time.
+/// carry their id in X-Request; the server answers each after service_time with its id.
 class small_deployment
 {
 public:
-    small_deployment(event_loop& loop, duration service_time);
+    small_deployment(event_loop& loop, small_deployment_options options);
     ~small_deployment();
     small_deployment(const small_deployment&) = delete;
     small_deployment& operator=(const small_deployment&) = delete;
@@ -49,7 +61,7 @@
     void on_request(evhttp_request* request);
 
     event_loop& loop_;
-    duration service_time_;
+    small_deployment_options options_;
     entry_settings settings_;
     std::string server_address_;
     evhttp* server_{};
