Entry host: a stop that runs out of time logs what is left

What was seen: the line "stopped whole=no" does not say whether requests waited for a slot, were at a server, or only connections were open, so the causes of a request without an answer look alike. Change: a line "unfinished" for each request that is being handled, and "stop_overdue" with the numbers.

--- a/src/plugins/entry/caller_listener.cpp
+++ b/src/plugins/entry/caller_listener.cpp
@@ -119,6 +119,22 @@
     }
 }
 
+void caller_listener::log_unfinished() const
+{
+    std::size_t waiting = 0;
+    std::size_t at_server = 0;
+    for (const auto& it : flows_) {
+        if (it->ended()) {
+            continue;
+        }
+        ++(it->waiting() ? waiting : at_server);
+        it->log_unfinished();
+    }
+    log_event(
+        "stop_overdue",
+        {{"waiting", waiting}, {"at_server", at_server}, {"connections", connections_.size()}});
+}
+
 void caller_listener::tick(instant now)
 {
     remove_ended_flows();
--- a/src/plugins/entry/caller_listener.hpp
+++ b/src/plugins/entry/caller_listener.hpp
@@ -33,6 +33,8 @@
     void refuse_new_requests();
     /// No request is being handled and no connection is open.
     [[nodiscard]] bool idle() const { return flows_.empty() && connections_.empty(); }
+    /// Writes a log line for each request that is being handled, and one with their number.
+    void log_unfinished() const;
     void tick(instant now);
     [[nodiscard]] std::size_t connections() const { return connections_.size(); }
 
--- a/src/plugins/entry/entry_host.cpp
+++ b/src/plugins/entry/entry_host.cpp
@@ -212,6 +212,9 @@
     }
     const bool done = arrivals_over && listener.idle() && coordination.stopped() && record_removed;
     if ((done || overdue) && on_stopped) {
+        if (!done) {
+            listener.log_unfinished();
+        }
         log_event("stopped", {{"host", self.value}, {"whole", done ? "yes" : "no"}});
         std::exchange(on_stopped, nullptr)();
     }
--- a/src/plugins/entry/request_flow.cpp
+++ b/src/plugins/entry/request_flow.cpp
@@ -106,6 +106,25 @@
     return route_->route.retry == retry_policy::idempotent;
 }
 
+bool request_flow::waiting() const
+{
+    return stage_ == stage::waiting_for_owner || stage_ == stage::waiting_for_slot;
+}
+
+void request_flow::log_unfinished() const
+{
+    const auto* at = waiting() ? stage_ == stage::waiting_for_owner ? "owner" : "slot" : "server";
+    log_event("unfinished", {{"request", id_},
+                             {"waits_for", at},
+                             {"service", service_.value},
+                             {"server", server_.id.value},
+                             {"sends", sends_},
+                             {"verdict", to_string(verdict_)},
+                             {"answer_begun", exchange_->begun() ? "yes" : "no"},
+                             {"took", monotonic_now() - exchange_->arrived},
+                             {"left", time_left()}});
+}
+
 duration request_flow::time_left() const
 {
     return deadline_ - monotonic_now();
--- a/src/plugins/entry/request_flow.hpp
+++ b/src/plugins/entry/request_flow.hpp
@@ -32,6 +32,10 @@
     /// Key owners, servers or the configuration changed.
     void on_view_change();
     [[nodiscard]] bool ended() const { return ended_; }
+    /// It has no slot at a server: it waits for one, or for an owner of its key.
+    [[nodiscard]] bool waiting() const;
+    /// Writes a log line that says how far an unfinished request is.
+    void log_unfinished() const;
 
 private:
     enum class stage
