Entry host: a stop answers every request that it has read

Cause: at the end of the grace period, less 350 ms, the host ended with whatever was left. Only new requests were refused before; one that waited for a slot or an owner had no bound but the caller's deadline and the route's timeout, which may lie behind the end of the grace period. Change: the steps of a stop are one schedule, computed from the grace period. No request is started in its second half: those that are not at a server are refused with 503 and Retry-After 0, as another host can take them, and retries end. What servers have not answered by the end of the period gets 502, which promises nothing.

--- /dev/null
+++ b/src/libs/deployment/stop_schedule.cpp
@@ -0,0 +1,29 @@
+#include "quincewing/deployment/stop_schedule.hpp"
+
+#include <algorithm>
+
+namespace quincewing {
+
+namespace {
+
+// The load balancer checks readiness once a second and removes a host after two failed checks.
+constexpr millis balancer_detection_time{2600};
+// Connections that the load balancer opened just before that arrive within this time.
+constexpr millis late_arrival_time{500};
+// Part of the grace period that is kept for the last responses to leave the socket buffers.
+constexpr millis flush_time{350};
+
+} // namespace
+
+// Half of the grace period at least is left for requests that are at a server when no more are
+// started.
+stop_schedule make_stop_schedule(duration grace)
+{
+    const auto start_none = std::min<duration>(balancer_detection_time + late_arrival_time,
+                                               grace / 2);
+    return {.close_idle = std::min<duration>(balancer_detection_time, start_none),
+            .start_none = start_none,
+            .answer_rest = std::max<duration>(grace - flush_time, start_none)};
+}
+
+} // namespace quincewing
--- a/src/plugins/entry/caller_listener.cpp
+++ b/src/plugins/entry/caller_listener.cpp
@@ -14,7 +14,6 @@
 
 // After this time without traffic a request is unlikely to be in flight on the connection.
 constexpr millis idle_before_close{300};
-constexpr int unavailable = 503;
 
 } // namespace
 
@@ -91,14 +90,13 @@
 
 void caller_listener::on_request(const caller_exchange_ptr& exchange)
 {
-    if (refusing_) {
-        // There is no time left to complete it before the host stops; another host can take it.
-        exchange->respond(unavailable, {{"Retry-After", "0"}}, "not run\n");
-        return;
-    }
     const auto flow = std::make_shared<request_flow>(context_, services_, exchange);
     flows_.push_back(flow);
-    flow->start();
+    if (refusing_) {
+        flow->refuse_unsent();
+    } else {
+        flow->start();
+    }
     if (flow->ended()) {
         cleanup_timer_.soon();
     }
@@ -119,20 +117,18 @@
     }
 }
 
-void caller_listener::log_unfinished() const
+void caller_listener::answer_unfinished()
 {
-    std::size_t waiting = 0;
-    std::size_t at_server = 0;
-    for (const auto& it : flows_) {
-        if (it->ended()) {
-            continue;
+    std::size_t n = 0;
+    const auto flows = flows_;
+    for (const auto& it : flows) {
+        if (!it->ended()) {
+            ++n;
+            it->log_unfinished();
+            it->give_up();
         }
-        ++(it->waiting() ? waiting : at_server);
-        it->log_unfinished();
     }
-    log_event(
-        "stop_overdue",
-        {{"waiting", waiting}, {"at_server", at_server}, {"connections", connections_.size()}});
+    log_event("stop_overdue", {{"requests", n}, {"connections", connections_.size()}});
 }
 
 void caller_listener::tick(instant now)
@@ -158,13 +154,22 @@
     closing_idle_ = true;
 }
 
-void caller_listener::refuse_new_requests()
+void caller_listener::start_no_requests()
 {
+    if (refusing_) {
+        return;
+    }
     refusing_ = true;
     if (listener_ != nullptr) {
         evconnlistener_free(listener_);
         listener_ = nullptr;
     }
+    const auto flows = flows_;
+    for (const auto& it : flows) {
+        if (it->waiting()) {
+            it->refuse_unsent();
+        }
+    }
 }
 
 } // namespace quincewing
--- a/src/plugins/entry/caller_listener.hpp
+++ b/src/plugins/entry/caller_listener.hpp
@@ -29,12 +29,14 @@
     void set_stopping() { stopping_ = true; }
     /// From now on connections are closed after a short time without a request.
     void close_idle_connections();
-    /// Stops listening and refuses new requests on open connections.
-    void refuse_new_requests();
+    /// Stops listening; refuses new requests on open connections, and those that are not at a
+    /// server.
+    void start_no_requests();
+    [[nodiscard]] bool starts_requests() const { return !refusing_; }
+    /// Answers all requests that are being handled, and logs them: the process is about to end.
+    void answer_unfinished();
     /// No request is being handled and no connection is open.
     [[nodiscard]] bool idle() const { return flows_.empty() && connections_.empty(); }
-    /// Writes a log line for each request that is being handled, and one with their number.
-    void log_unfinished() const;
     void tick(instant now);
     [[nodiscard]] std::size_t connections() const { return connections_.size(); }
 
--- a/src/plugins/entry/entry_host.cpp
+++ b/src/plugins/entry/entry_host.cpp
@@ -9,6 +9,7 @@
 #include "store_follower.hpp"
 
 #include "quincewing/base/hash.hpp"
+#include "quincewing/deployment/stop_schedule.hpp"
 #include "quincewing/logging/event_log.hpp"
 #include "quincewing/peers/peers_task.hpp"
 
@@ -21,12 +22,6 @@
 
 constexpr millis tick_period{50};
 constexpr seconds log_period{1};
-// The load balancer checks readiness once a second and removes a host after two failed checks.
-constexpr millis balancer_detection_time{2600};
-// Connections that the load balancer opened just before that arrive within this time.
-constexpr millis late_arrival_time{500};
-// Part of the grace period that is kept for the last responses to leave the socket buffers.
-constexpr millis flush_time{350};
 constexpr seconds forget_host_after{60};
 
 host_id new_host_id(const std::string& address)
@@ -70,8 +65,8 @@
     timer tick_timer;
     instant next_log_tick{};
     instant stop_started_at{};
+    stop_schedule stop_steps;
     bool stopping{};
-    bool idle_closed{};
     bool record_removed{};
     std::function<void()> on_stopped;
 };
@@ -110,6 +105,7 @@
                                 .budget = [this](const service_id& it) -> shared_retry_budget& {
                                     return budget(it);
                                 },
+                                .may_start_requests = [this] { return listener.starts_requests(); },
                                 .response_sizes = {},
                                 .record_request =
                                     [this](const service_id& service, key_number key) {
@@ -201,19 +197,18 @@
 void entry_host::tasks::continue_shutdown(instant now)
 {
     const auto elapsed = now - stop_started_at;
-    if (elapsed >= balancer_detection_time && !idle_closed) {
-        idle_closed = true;
+    if (elapsed >= stop_steps.close_idle) {
         listener.close_idle_connections();
     }
-    const bool overdue = elapsed >= settings.bounds.grace - flush_time;
-    const bool arrivals_over = elapsed >= balancer_detection_time + late_arrival_time;
-    if (arrivals_over) {
-        listener.refuse_new_requests();
+    if (elapsed < stop_steps.start_none) {
+        return;
     }
-    const bool done = arrivals_over && listener.idle() && coordination.stopped() && record_removed;
+    listener.start_no_requests();
+    const bool overdue = elapsed >= stop_steps.answer_rest;
+    const bool done = listener.idle() && coordination.stopped() && record_removed;
     if ((done || overdue) && on_stopped) {
         if (!done) {
-            listener.log_unfinished();
+            listener.answer_unfinished();
         }
         log_event("stopped", {{"host", self.value}, {"whole", done ? "yes" : "no"}});
         std::exchange(on_stopped, nullptr)();
@@ -258,6 +253,7 @@
     const auto now = monotonic_now();
     it.stopping = true;
     it.stop_started_at = now;
+    it.stop_steps = make_stop_schedule(it.settings.bounds.grace);
     it.on_stopped = std::move(done);
     log_event("stopping", {{"host", it.self.value}});
     it.listener.set_stopping();
--- a/src/plugins/entry/flow_services.hpp
+++ b/src/plugins/entry/flow_services.hpp
@@ -21,6 +21,8 @@
     std::function<std::size_t()> host_count;
     /// The retry budget of a service.
     std::function<shared_retry_budget&(const service_id&)> budget;
+    /// False once the host is about to end: requests that are not at a server are refused.
+    std::function<bool()> may_start_requests;
     /// Moving average of response body sizes in bytes, by route name.
     std::map<std::string, double> response_sizes;
     /// Counts a request for a key, for load balancing.
--- a/src/plugins/entry/request_flow.cpp
+++ b/src/plugins/entry/request_flow.cpp
@@ -27,6 +27,8 @@
 // owner within a fraction of a second.
 constexpr seconds retry_after_owner_lost{1};
 constexpr millis retry_after_key_move{200};
+// Another host can take a request that a stopping host refuses.
+constexpr millis retry_after_stop{0};
 // Times that a request is sent on to another owner of its key.
 constexpr int max_owner_misses = 3;
 // For requests without a deadline header.
@@ -537,11 +539,16 @@
 {
     const bool servers_left = tried_.size() < route_->route.max_servers;
     const bool in_time = time_left() > millis{20};
-    return idempotent() && servers_left && in_time && !exchange_->disconnected() && !key_;
+    return idempotent() && servers_left && in_time && !exchange_->disconnected() && !key_ &&
+           services_.may_start_requests();
 }
 
 void request_flow::retry(const char* why, bool uses_budget)
 {
+    if (!services_.may_start_requests()) {
+        refuse_unsent();
+        return;
+    }
     const bool attempts_left =
         tried_.size() < route_->route.max_servers || (key_ && sends_ < 3) || sends_ == 0;
     const bool in_time = time_left() > millis{20};
@@ -590,6 +597,32 @@
     fail(gateway_timeout, "timeout");
 }
 
+// A request that was sent once may have run, although it is at no server now.
+void request_flow::refuse_unsent()
+{
+    const auto self = shared_from_this();
+    if (verdict_ == verdict::not_run) {
+        refuse("host_stops", retry_after_stop);
+        return;
+    }
+    fail(bad_gateway, "host_stops");
+}
+
+void request_flow::give_up()
+{
+    const auto self = shared_from_this();
+    if (connection_) {
+        connection_->abort();
+    }
+    leave_server(attempt_outcome::unused, false);
+    if (relaying_) {
+        exchange_->abort();
+        finish(response_.status, "host_stops");
+        return;
+    }
+    refuse_unsent();
+}
+
 // An idempotent request is cancelled by closing the connection to the server. One that must run at
 // most once is left to finish, because a cancelled run would have an unknown outcome.
 void request_flow::on_caller_disconnect()
--- a/src/plugins/entry/request_flow.hpp
+++ b/src/plugins/entry/request_flow.hpp
@@ -34,6 +34,10 @@
     [[nodiscard]] bool ended() const { return ended_; }
     /// It has no slot at a server: it waits for one, or for an owner of its key.
     [[nodiscard]] bool waiting() const;
+    /// Refuses a request that is not at a server, since this host is about to end.
+    void refuse_unsent();
+    /// Answers the request now, since this host ends.
+    void give_up();
     /// Writes a log line that says how far an unfinished request is.
     void log_unfinished() const;
 
--- /dev/null
+++ b/tests/auto/deployment/stop_schedule_test.cpp
@@ -0,0 +1,27 @@
+#include "quincewing/deployment/stop_schedule.hpp"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+using namespace quincewing;
+
+TEST_CASE("stop schedule: the load balancer notices before requests are refused")
+{
+    const auto it = make_stop_schedule(seconds{10});
+    CHECK(it.close_idle > seconds{2});
+    CHECK(it.start_none > it.close_idle);
+}
+
+TEST_CASE("stop schedule: whatever the grace period, the steps come in order and within it")
+{
+    const bool good = rc::check([] {
+        const duration grace = millis{*rc::gen::inRange(0, 60'000)};
+        const auto it = make_stop_schedule(grace);
+        RC_ASSERT(duration{0} <= it.close_idle);
+        RC_ASSERT(it.close_idle <= it.start_none);
+        RC_ASSERT(it.start_none <= grace / 2);
+        RC_ASSERT(it.start_none <= it.answer_rest);
+        RC_ASSERT(it.answer_rest <= grace);
+    });
+    CHECK(good);
+}
