Entry host: a stop no longer cuts pipelined requests that run at a server

What callers saw: on a host that stops, the first of several pipelined requests was answered with "Connection: close" and the others, which ran at servers, were dropped with the connection. Cause: every response of a stopping host carried "Connection: close"; the end of such a response drops the requests behind it and resets their connections to the servers. The test failed before: 200 for the first of three, nothing for the others, while all three ran. Change: only the response to the last request that was started closes the connection, and no further request is read once it is known which one that is.

--- a/src/libs/deployment/stop_schedule.cpp
+++ b/src/libs/deployment/stop_schedule.cpp
@@ -19,8 +19,8 @@
 // started.
 stop_schedule make_stop_schedule(duration grace)
 {
-    const auto start_none = std::min<duration>(balancer_detection_time + late_arrival_time,
-                                               grace / 2);
+    const auto start_none =
+        std::min<duration>(balancer_detection_time + late_arrival_time, grace / 2);
     return {.close_idle = std::min<duration>(balancer_detection_time, start_none),
             .start_none = start_none,
             .answer_rest = std::max<duration>(grace - flush_time, start_none)};
--- a/src/plugins/entry/caller_connection.cpp
+++ b/src/plugins/entry/caller_connection.cpp
@@ -2,6 +2,7 @@
 
 #include "quincewing/net/reset_on_close.hpp"
 
+#include <algorithm>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <netinet/in.h>
@@ -212,6 +213,23 @@
     return n;
 }
 
+// A stopping host closes the connection after the last request that it has started, and reads no
+// further ones. Callers send again what stands behind a response that closes the connection. When
+// the response to the last one has begun, it is too late to say so there.
+bool caller_connection::closes_after(const caller_exchange& it)
+{
+    if (!hooks_.stopping || !hooks_.stopping()) {
+        return false;
+    }
+    const auto last_started = std::find_if(exchanges_.rbegin(), exchanges_.rend(),
+                                           [](const auto& other) { return other->started_; });
+    if (last_started == exchanges_.rend() || last_started->get() == &it) {
+        return true;
+    }
+    no_more_requests_ = no_more_requests_ || !(*last_started)->begun_;
+    return false;
+}
+
 void caller_connection::flush_responses()
 {
     if (bev_ == nullptr || flushing_) {
--- a/src/plugins/entry/caller_connection.hpp
+++ b/src/plugins/entry/caller_connection.hpp
@@ -32,7 +32,8 @@
     std::function<bool(const message_head&)> may_run_concurrently;
     /// The connection is closed. It must be destroyed after the hook has returned, not inside it.
     std::function<void(caller_connection*)> on_closed;
-    /// Whether the host is shutting down: responses then carry "Connection: close".
+    /// Whether the host is shutting down: connections then end with "Connection: close" after the
+    /// last request that was started.
     std::function<bool()> stopping;
 };
 
@@ -61,6 +62,8 @@
     void on_request_end();
     void reject(int status);
     void start_requests();
+    /// Whether the response to this request closes the connection because the host stops.
+    [[nodiscard]] bool closes_after(const caller_exchange& it);
     void flush_responses();
     void finish_first_exchange();
     [[nodiscard]] std::size_t buffered_bytes() const;
--- a/src/plugins/entry/caller_exchange.cpp
+++ b/src/plugins/entry/caller_exchange.cpp
@@ -69,9 +69,11 @@
     chunked_ = !length && !bodyless && head.version_1_1;
     framed_ = chunked_ || length || bodyless;
     // HTTP/1.0 has no chunked encoding: without a length the body ends with the connection.
-    close_after_ = !head.keep_alive ||
-                   (connection_->hooks_.stopping && connection_->hooks_.stopping()) ||
+    close_after_ = !head.keep_alive || connection_->closes_after(*this) ||
                    (!length && !bodyless && !head.version_1_1);
+    if (close_after_) {
+        connection_->no_more_requests_ = true;
+    }
     evbuffer_add_printf(out_, "HTTP/1.1 %d %s\r\n", status, reason_phrase(status));
     for (const auto& [name, value] : headers) {
         evbuffer_add_printf(out_, "%s: %s\r\n", name.c_str(), value.c_str());
--- a/tests/auto/entry/entry_stop_test.cpp
+++ b/tests/auto/entry/entry_stop_test.cpp
@@ -122,4 +122,7 @@
     });
     CHECK(it.deployment().executed.size() == 3);
     CHECK_MESSAGE(caller->statuses() == "200 200 200", caller->received());
+    const auto last_response = caller->received().rfind("HTTP/1.1 ");
+    CHECK(caller->received().find("Connection: close") > last_response);
+    CHECK(caller->closed());
 }
