Entry host: the end of a connection no longer cuts the answer that announces it

What callers saw: with "Connection: close" on an answer whose end was still on its way, a request that crossed it made the connection reset, and the answer ended early. Cause: the socket was closed as soon as the answer had left the program. The system resets a closed connection that gets more data and drops what it has not sent. Change: after an answer that announces the close only the sending side is shut down; the rest is read and dropped until the caller closes, one second at most. Callers that asked for the close send no more: their connections are closed at once as before.

--- a/src/plugins/entry/caller_connection.cpp
+++ b/src/plugins/entry/caller_connection.cpp
@@ -20,6 +20,8 @@
 // Bytes of pipelined requests that are read ahead. Reading goes on while requests are handled, so
 // that a disconnect is noticed.
 constexpr std::size_t max_read_ahead = 64UL * 1024;
+// Time that a caller has to close a connection after a response that announced the close.
+constexpr seconds linger_timeout{1};
 
 } // namespace
 
@@ -247,7 +249,7 @@
     flushing_ = false;
     if (bev_ != nullptr && closing_ && exchanges_.empty() &&
         evbuffer_get_length(bufferevent_get_output(bev_)) == 0) {
-        close();
+        finish_sending();
     }
 }
 
@@ -261,6 +263,7 @@
     front->connection_ = nullptr;
     idle_since_ = monotonic_now();
     if (front->close_after_ || front->aborted_ || closing_) {
+        announced_close_ = front->close_after_ && front->head.keep_alive && !front->aborted_;
         no_more_requests_ = true;
         closing_ = true;
         for (const auto& it : exchanges_) {
@@ -286,6 +289,22 @@
 
 // ---- closing
 
+// A request may cross the response that announces the close. If the socket were closed at once, the
+// request would make the system reset the connection and drop what is left of the response.
+void caller_connection::finish_sending()
+{
+    if (!announced_close_) {
+        close();
+        return;
+    }
+    if (sending_finished_at_) {
+        return;
+    }
+    sending_finished_at_ = monotonic_now();
+    shutdown(bufferevent_getfd(bev_), SHUT_WR);
+    bufferevent_enable(bev_, EV_READ);
+}
+
 void caller_connection::close_if_idle(instant now, duration idle_for)
 {
     const bool idle = exchanges_.empty() && !reader_.inside_message();
@@ -299,6 +318,12 @@
     if (bev_ == nullptr) {
         return;
     }
+    if (sending_finished_at_) {
+        if (now - *sending_finished_at_ > linger_timeout) {
+            close();
+        }
+        return;
+    }
     if (reader_.inside_message() && !reader_.inside_body()) {
         if (exchanges_.empty() && now - head_started_ > options_.limits.head_timeout) {
             reject(request_timeout);
--- a/src/plugins/entry/caller_connection.hpp
+++ b/src/plugins/entry/caller_connection.hpp
@@ -10,6 +10,7 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
 
 struct bufferevent;
 
@@ -67,6 +68,7 @@
     void flush_responses();
     void finish_first_exchange();
     [[nodiscard]] std::size_t buffered_bytes() const;
+    void finish_sending();
     void close();
     void pause_reading_if_full();
 
@@ -82,6 +84,10 @@
     bool reading_{true};
     bool no_more_requests_{};
     bool closing_{};
+    /// The caller was told of the close by a response, and did not ask for it.
+    bool announced_close_{};
+    /// When sending was finished; the connection is then closed when the caller closes it.
+    std::optional<instant> sending_finished_at_;
     /// Close with a reset: an orderly close would make a truncated response look complete.
     bool reset_on_close_{};
     bool flushing_{};
--- a/tests/auto/entry/entry_stop_test.cpp
+++ b/tests/auto/entry/entry_stop_test.cpp
@@ -6,6 +6,8 @@
 #include <doctest/doctest.h>
 #include <functional>
 #include <memory>
+#include <set>
+#include <string>
 #include <vector>
 
 using namespace quincewing;
@@ -55,6 +57,7 @@
         CHECK(stopped_);
     }
 
+    [[nodiscard]] event_loop& loop() { return loop_; }
     [[nodiscard]] const small_deployment& deployment() const { return deployment_; }
 
 private:
@@ -126,3 +129,24 @@
     CHECK(caller->received().find("Connection: close") > last_response);
     CHECK(caller->closed());
 }
+
+// Guards against a connection that is reset, with the rest of an answer on its way, by a request
+// that crosses its close.
+TEST_CASE("entry stop: a request that crosses the close leaves the answer before it whole")
+{
+    constexpr std::size_t answer_bytes = 200'000;
+    stop_run it{{.service_time = millis{400}, .answer_bytes = answer_bytes}};
+    raw_caller* caller = nullptr;
+    timer cross{it.loop(), [&] { caller->send(post_request("b")); }};
+    timer read_on{it.loop(), [&] { caller->set_reading(true); }};
+    it.run([&] {
+        caller = &it.add_caller(post_request("a"));
+        caller->set_reading(false);
+        cross.once(millis{900});
+        read_on.once(millis{1100});
+    });
+    CHECK(it.deployment().executed == std::multiset<std::string>{"a"});
+    CHECK(caller->statuses() == "200");
+    CHECK(caller->received().size() > answer_bytes);
+    CHECK(caller->closed());
+}
--- a/tests/auto/entry/raw_caller.cpp
+++ b/tests/auto/entry/raw_caller.cpp
@@ -41,6 +41,15 @@
     bufferevent_write(bev_, bytes.data(), bytes.size());
 }
 
+void raw_caller::set_reading(bool on)
+{
+    if (on) {
+        bufferevent_enable(bev_, EV_READ);
+    } else {
+        bufferevent_disable(bev_, EV_READ);
+    }
+}
+
 std::string raw_caller::statuses() const
 {
     constexpr std::size_t status_length = 3;
--- a/tests/auto/entry/raw_caller.hpp
+++ b/tests/auto/entry/raw_caller.hpp
@@ -20,6 +20,8 @@
     raw_caller& operator=(const raw_caller&) = delete;
 
     void send(const std::string& bytes);
+    /// Pauses or resumes reading; received bytes then stay in the socket's buffer.
+    void set_reading(bool on);
 
     /// All bytes received so far.
     [[nodiscard]] const std::string& received() const { return received_; }
--- a/tests/auto/entry/small_deployment.cpp
+++ b/tests/auto/entry/small_deployment.cpp
@@ -158,15 +158,17 @@
     evbuffer_remove(in, body.data(), body.size());
     bodies[name] = body;
     executed.insert(name);
-    pending_runs_.push_back(std::make_unique<timer>(loop_, [request, name] {
-        auto* headers = evhttp_request_get_output_headers(request);
-        evhttp_add_header(headers, "X-Request", name.c_str());
-        evhttp_add_header(headers, "X-Mark", "s1");
-        auto* out = evbuffer_new();
-        evbuffer_add(out, name.data(), name.size());
-        evhttp_send_reply(request, 200, "OK", out);
-        evbuffer_free(out);
-    }));
+    pending_runs_.push_back(
+        std::make_unique<timer>(loop_, [request, name, extra = options_.answer_bytes] {
+            auto* headers = evhttp_request_get_output_headers(request);
+            evhttp_add_header(headers, "X-Request", name.c_str());
+            evhttp_add_header(headers, "X-Mark", "s1");
+            auto* out = evbuffer_new();
+            const auto answer = name + std::string(extra, '.');
+            evbuffer_add(out, answer.data(), answer.size());
+            evhttp_send_reply(request, 200, "OK", out);
+            evbuffer_free(out);
+        }));
     pending_runs_.back()->once(options_.service_time);
 }
 
--- a/tests/auto/entry/small_deployment.hpp
+++ b/tests/auto/entry/small_deployment.hpp
@@ -4,6 +4,8 @@
 #include "quincewing/entry/entry_settings.hpp"
 #include "quincewing/net/event_loop.hpp"
 
+#include <cstddef>
+#include <cstdint>
 #include <event2/http.h>
 #include <functional>
 #include <map>
@@ -24,6 +26,8 @@
     duration service_time{millis{30}};
     /// Requests that the server runs at the same time.
     std::uint32_t slots{8};
+    /// Bytes that the server adds to the id in its answer.
+    std::size_t answer_bytes{};
     retry_policy retry{retry_policy::at_most_once};
     duration route_timeout{seconds{5}};
     /// Time from the stop signal until the process is killed.
