Entry host: a stop closes no connection as idle whose answer is still being sent

What callers saw: a caller that reads slowly lost the end of its answer when the host stopped. Cause: a connection counted as idle as soon as its last answer had been put into the buffer; a stopping host closes idle connections after 300 ms, and the buffer went with it. Change: a connection is idle when its answers are sent. The idle timeout of the configuration holds as before, also for a caller that does not read.

--- a/src/plugins/entry/caller_connection.cpp
+++ b/src/plugins/entry/caller_connection.cpp
@@ -41,6 +41,7 @@
         bev_, [](bufferevent*, void* arg) { static_cast<caller_connection*>(arg)->on_readable(); },
         [](bufferevent*, void* arg) {
             auto& self = *static_cast<caller_connection*>(arg);
+            self.idle_since_ = monotonic_now();
             self.flush_responses();
             if (self.bev_ != nullptr && !self.exchanges_.empty() &&
                 self.exchanges_.front()->on_writable) {
@@ -305,10 +306,15 @@
     bufferevent_enable(bev_, EV_READ);
 }
 
+bool caller_connection::idle() const
+{
+    return exchanges_.empty() && !reader_.inside_message() &&
+           evbuffer_get_length(bufferevent_get_output(bev_)) == 0;
+}
+
 void caller_connection::close_if_idle(instant now, duration idle_for)
 {
-    const bool idle = exchanges_.empty() && !reader_.inside_message();
-    if (bev_ != nullptr && idle && now - idle_since_ > idle_for) {
+    if (bev_ != nullptr && idle() && now - idle_since_ > idle_for) {
         close();
     }
 }
@@ -330,6 +336,7 @@
         }
         return;
     }
+    // A caller that does not read its answers keeps the connection no longer than an idle one.
     if (exchanges_.empty() && now - idle_since_ > options_.limits.idle_timeout) {
         close();
     }
--- a/src/plugins/entry/caller_connection.hpp
+++ b/src/plugins/entry/caller_connection.hpp
@@ -68,6 +68,8 @@
     void flush_responses();
     void finish_first_exchange();
     [[nodiscard]] std::size_t buffered_bytes() const;
+    /// No request is being received or handled, and all responses are sent.
+    [[nodiscard]] bool idle() const;
     void finish_sending();
     void close();
     void pause_reading_if_full();
--- a/tests/auto/entry/entry_stop_test.cpp
+++ b/tests/auto/entry/entry_stop_test.cpp
@@ -150,3 +150,21 @@
     CHECK(caller->received().size() > answer_bytes);
     CHECK(caller->closed());
 }
+
+// Guards against a connection that is closed as idle while its caller still reads the answer.
+TEST_CASE("entry stop: an answer that a slow caller reads is not cut")
+{
+    constexpr std::size_t answer_bytes = 12'000'000;
+    stop_run it{{.service_time = millis{30},
+                 .answer_bytes = answer_bytes,
+                 .answer_buffer = 2 * answer_bytes}};
+    raw_caller* caller = nullptr;
+    timer read_on{it.loop(), [&] { caller->set_reading(true); }};
+    it.run([&] {
+        caller = &it.add_caller(post_request("a"));
+        caller->set_reading(false);
+        read_on.once(millis{3100});
+    });
+    CHECK(caller->statuses() == "200");
+    CHECK(caller->received().size() > answer_bytes);
+}
--- a/tests/auto/entry/small_deployment.cpp
+++ b/tests/auto/entry/small_deployment.cpp
@@ -64,6 +64,7 @@
     settings_.peers = loopback(free_port());
     settings_.metrics = loopback(free_port());
     settings_.bounds.grace = options.grace;
+    settings_.answer_buffer = options.answer_buffer;
     append(store_stream::configuration, {.key = "wanted", .value = "1"}, {});
     append(store_stream::servers, {.key = "s1", .value = server_address_}, {});
 }
--- a/tests/auto/entry/small_deployment.hpp
+++ b/tests/auto/entry/small_deployment.hpp
@@ -30,6 +30,8 @@
     std::size_t answer_bytes{};
     retry_policy retry{retry_policy::at_most_once};
     duration route_timeout{seconds{5}};
+    /// Bytes of one answer that the entry host buffers.
+    std::uint64_t answer_buffer{256UL * 1024};
     /// Time from the stop signal until the process is killed.
     duration grace{seconds{6}};
 };
