Entry host: a rejection reaches a caller that goes on sending

What callers saw: a caller whose body is too large, or whose request is malformed, and that goes on sending had its connection reset, which can take the 413 or 400 with it. Cause: the end of the connection lingered only after requests that said keep-alive, and a rejection takes that away from its request. Change: what counts is whether the caller itself announced its last request.

--- a/src/plugins/entry/caller_connection.cpp
+++ b/src/plugins/entry/caller_connection.cpp
@@ -264,7 +264,7 @@
     front->connection_ = nullptr;
     idle_since_ = monotonic_now();
     if (front->close_after_ || front->aborted_ || closing_) {
-        announced_close_ = front->close_after_ && front->head.keep_alive && !front->aborted_;
+        linger_ = front->close_after_ && !front->last_of_caller_ && !front->aborted_;
         no_more_requests_ = true;
         closing_ = true;
         for (const auto& it : exchanges_) {
@@ -294,7 +294,7 @@
 // request would make the system reset the connection and drop what is left of the response.
 void caller_connection::finish_sending()
 {
-    if (!announced_close_) {
+    if (!linger_) {
         close();
         return;
     }
--- a/src/plugins/entry/caller_connection.hpp
+++ b/src/plugins/entry/caller_connection.hpp
@@ -86,8 +86,8 @@
     bool reading_{true};
     bool no_more_requests_{};
     bool closing_{};
-    /// The caller was told of the close by a response, and did not ask for it.
-    bool announced_close_{};
+    /// The caller may go on sending although a response has announced the close.
+    bool linger_{};
     /// When sending was finished; the connection is then closed when the caller closes it.
     std::optional<instant> sending_finished_at_;
     /// Close with a reset: an orderly close would make a truncated response look complete.
--- a/src/plugins/entry/caller_exchange.cpp
+++ b/src/plugins/entry/caller_exchange.cpp
@@ -49,7 +49,8 @@
 
 caller_exchange::caller_exchange(caller_connection& connection, message_head head_,
                                  instant arrived_)
-    : head(std::move(head_)), arrived(arrived_), connection_(&connection), out_(evbuffer_new())
+    : head(std::move(head_)), arrived(arrived_), connection_(&connection), out_(evbuffer_new()),
+      last_of_caller_(!head.keep_alive)
 {
 }
 
--- a/src/plugins/entry/caller_exchange.hpp
+++ b/src/plugins/entry/caller_exchange.hpp
@@ -67,6 +67,8 @@
     /// The end of the response does not depend on the end of the connection.
     bool framed_{};
     bool close_after_{};
+    /// The caller said that it sends nothing after this request.
+    bool last_of_caller_{};
 };
 
 using caller_exchange_ptr = std::shared_ptr<caller_exchange>;
--- a/tests/auto/entry/entry_host_test.cpp
+++ b/tests/auto/entry/entry_host_test.cpp
@@ -1,5 +1,6 @@
 #include "quincewing/entry/entry_host.hpp"
 
+#include "raw_caller.hpp"
 #include "small_deployment.hpp"
 
 #include "quincewing/http/client_connection.hpp"
@@ -226,3 +227,26 @@
     CHECK(got.starts_with("HTTP/1.1 413"));
     CHECK(deployment.executed.empty());
 }
+
+// Guards against a rejection that the caller never sees, since the rest of its request makes the
+// system reset the connection.
+TEST_CASE("entry host: a caller that goes on sending an oversized body is not reset")
+{
+    constexpr std::size_t sent_bytes = 1'000'000;
+    event_loop loop;
+    small_deployment deployment{loop, {}};
+    entry_host host{loop, deployment.settings(), deployment.api()};
+    REQUIRE(host.start().empty());
+    std::unique_ptr<raw_caller> caller;
+    timer begin{loop, [&] {
+                    caller = std::make_unique<raw_caller>(loop, deployment.settings().callers);
+                    caller->send(
+                        post("a", "Content-Length: 900000000\r\n", std::string(sent_bytes, '.')));
+                }};
+    begin.once(millis{300});
+    timer end{loop, [&] { loop.stop(); }};
+    end.once(millis{900});
+    loop.run();
+    CHECK(caller->statuses() == "413");
+    CHECK_FALSE(caller->broken());
+}
--- a/tests/auto/entry/raw_caller.cpp
+++ b/tests/auto/entry/raw_caller.cpp
@@ -21,9 +21,9 @@
         },
         nullptr,
         [](bufferevent*, short what, void* arg) {
-            if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0) {
-                static_cast<raw_caller*>(arg)->closed_ = true;
-            }
+            auto& self = *static_cast<raw_caller*>(arg);
+            self.closed_ = self.closed_ || (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0;
+            self.broken_ = self.broken_ || (what & BEV_EVENT_ERROR) != 0;
         },
         this);
     bufferevent_enable(bev_, EV_READ | EV_WRITE);
--- a/tests/auto/entry/raw_caller.hpp
+++ b/tests/auto/entry/raw_caller.hpp
@@ -28,11 +28,14 @@
     /// Status codes of the responses received so far, separated by spaces.
     [[nodiscard]] std::string statuses() const;
     [[nodiscard]] bool closed() const { return closed_; }
+    /// The connection ended with an error, not in an orderly way.
+    [[nodiscard]] bool broken() const { return broken_; }
 
 private:
     bufferevent* bev_;
     std::string received_;
     bool closed_{};
+    bool broken_{};
 };
 
 /// A POST request of this id whose body is the id.
