Entry host: no request is started later than 3 s after the stop signal

What callers saw: nothing yet; a request that was taken between 3.0 and 3.15 s after the signal and needs over 2.5 s at its server would be given up at the end, and the platform's pages excuse that only for what was sent within 3 s of the signal. Cause: 500 ms for connections that arrive late, and a tick. Change: 300 ms; the balancer's two checks are over 2.6 s after the signal. Measured: the new check of the schedule failed before (3 s) and passes.

--- a/src/libs/deployment/stop_schedule.cpp
+++ b/src/libs/deployment/stop_schedule.cpp
@@ -9,7 +9,7 @@
 // The load balancer checks readiness once a second and removes a host after two failed checks.
 constexpr millis balancer_detection_time{2600};
 // Connections that the load balancer opened just before that arrive within this time.
-constexpr millis late_arrival_time{500};
+constexpr millis late_arrival_time{300};
 // Part of the grace period that is kept for the last responses to leave the socket buffers.
 constexpr millis flush_time{350};
 
--- a/tests/auto/deployment/stop_schedule_test.cpp
+++ b/tests/auto/deployment/stop_schedule_test.cpp
@@ -12,6 +12,13 @@
     CHECK(it.start_none > it.close_idle);
 }
 
+// The platform counts what is sent later than 3 s after the signal against the host.
+TEST_CASE("stop schedule: no request is started later than 3 s after the signal")
+{
+    CHECK(make_stop_schedule(seconds{6}).start_none < seconds{3});
+    CHECK(make_stop_schedule(seconds{30}).start_none < seconds{3});
+}
+
 TEST_CASE("stop schedule: whatever the grace period, the steps come in order and within it")
 {
     const bool good = rc::check([] {
