Timers no longer fire early on a host whose loop is behind

Cause: libevent counts a relative timeout from the time at which the turn of its loop began. A timer that is set late in a long turn fires earlier by as much as the turn has lasted. The new test failed before: 45 ms after it had been set for 200 ms at the end of a turn of 150 ms. Change: the clock is read when a single timer is set. Periodic ones keep counting from the turn's begin, so that they don't drift. It acts on every timeout: deadlines, connects, owner waits, calls, the exit. Measured: the test passes.

--- a/src/libs/net/event_loop.cpp
+++ b/src/libs/net/event_loop.cpp
@@ -71,9 +71,12 @@
     state_->fire = std::move(fire);
 }
 
+// The event base counts from the time at which the turn of its loop began, which may be long ago
+// when there are many events in a turn.
 void timer::once(duration after)
 {
     state_->period = duration{0};
+    event_base_update_cache_time(event_get_base(&state_->it));
     const auto tv = to_timeval(after);
     event_add(&state_->it, &tv);
 }
