Entry host: a stop leaves callers their time to end a connection

What callers saw: from 2.6 s after the signal on, a request that crossed the close more than 300 ms after the answer that announced it still cut that answer (found in review). Cause: a connection that only waits for its caller to close it counted as idle. Evidence: with an answer 2.4 s after the signal the test got 0 of 200,000 bytes. Change: it is left to the time that callers have for that, now two seconds: under a load of 20 on 8 cores one run of the test needed more than the 200 ms that were left of one second (1 of 36 runs).

--- a/src/plugins/entry/caller_connection.cpp
+++ b/src/plugins/entry/caller_connection.cpp
@@ -21,7 +21,7 @@
 // that a disconnect is noticed.
 constexpr std::size_t max_read_ahead = 64UL * 1024;
 // Time that a caller has to close a connection after a response that announced the close.
-constexpr seconds linger_timeout{1};
+constexpr seconds linger_timeout{2};
 
 } // namespace
 
@@ -314,7 +314,7 @@
 
 void caller_connection::close_if_idle(instant now, duration idle_for)
 {
-    if (bev_ != nullptr && idle() && now - idle_since_ > idle_for) {
+    if (bev_ != nullptr && !sending_finished_at_ && idle() && now - idle_since_ > idle_for) {
         close();
     }
 }
