Entry host: servers keep their time in short grace periods, refusals name their request

Found in review. A stop with less than 2.1 s of grace gave up requests at servers before its last sixth, the only part in which the platform's pages excuse that; the check of the schedule failed before. A request that is refused when it arrives had no id in its log line, so that it could not be found.

--- a/src/libs/deployment/stop_schedule.cpp
+++ b/src/libs/deployment/stop_schedule.cpp
@@ -10,8 +10,10 @@
 constexpr millis balancer_detection_time{2600};
 // Connections that the load balancer opened just before that arrive within this time.
 constexpr millis late_arrival_time{300};
-// Part of the grace period that is kept for the last responses to leave the socket buffers.
+// Time that is kept at the end for the last responses to leave the socket buffers.
 constexpr millis flush_time{350};
+// Servers may work in all of the grace period but this last part of it.
+constexpr int last_part_of_grace = 6;
 
 } // namespace
 
@@ -23,7 +25,7 @@
         std::min<duration>(balancer_detection_time + late_arrival_time, grace / 2);
     return {.close_idle = std::min<duration>(balancer_detection_time, start_none),
             .start_none = start_none,
-            .answer_rest = std::max<duration>(grace - flush_time, start_none)};
+            .answer_rest = grace - std::min<duration>(flush_time, grace / last_part_of_grace)};
 }
 
 } // namespace quincewing
--- a/src/plugins/entry/request_flow.cpp
+++ b/src/plugins/entry/request_flow.cpp
@@ -91,6 +91,9 @@
     : context_(std::move(context)), services_(services), exchange_(std::move(exchange)),
       timer_(context_.loop, [this] { on_timeout(); })
 {
+    if (const auto* id = find_header(exchange_->head.headers, context_.platform.names.request_id)) {
+        id_ = *id;
+    }
 }
 
 request_flow::~request_flow()
@@ -137,9 +140,6 @@
 void request_flow::start()
 {
     const auto& head = exchange_->head;
-    if (const auto* id = find_header(head.headers, context_.platform.names.request_id)) {
-        id_ = *id;
-    }
     if (!context_.view.routes().configured()) {
         refuse("no_configuration", millis{500});
         return;
--- a/tests/auto/deployment/stop_schedule_test.cpp
+++ b/tests/auto/deployment/stop_schedule_test.cpp
@@ -28,6 +28,8 @@
         RC_ASSERT(it.close_idle <= it.start_none);
         RC_ASSERT(it.start_none <= grace / 2);
         RC_ASSERT(it.start_none <= it.answer_rest);
+        // The platform's pages excuse only work that lasts into the last sixth.
+        RC_ASSERT(it.answer_rest >= grace - grace / 6);
         RC_ASSERT(it.answer_rest <= grace);
     });
     CHECK(good);
