Entry host: a truncated answer is reset at once, also when the process ends

Found in review, by reading: an answer without a length that a host gives up on was reset only once its bytes had left the program. When the process ended before, the system closed the connection in order and the answer looked complete. Now it is reset as soon as it is given up. No test: in one process the destruction of the host resets the connection as well.

--- a/src/plugins/entry/caller_connection.cpp
+++ b/src/plugins/entry/caller_connection.cpp
@@ -248,8 +248,11 @@
         finish_first_exchange();
     }
     flushing_ = false;
-    if (bev_ != nullptr && closing_ && exchanges_.empty() &&
-        evbuffer_get_length(bufferevent_get_output(bev_)) == 0) {
+    if (bev_ == nullptr || !closing_ || !exchanges_.empty()) {
+        return;
+    }
+    // What is left of a truncated response is of no use, and the process may end before it is sent.
+    if (reset_on_close_ || evbuffer_get_length(bufferevent_get_output(bev_)) == 0) {
         finish_sending();
     }
 }
