Dispatcher: a request that is submitted again takes no second slot

Callers: requests for the same server were refused or waited until their deadline although a slot was free, until the dispatcher's process ended.

Cause: dispatcher::submit put a second entry with the same ticket into the queue; its grant replaced the first one's entry in granted_, while slots_in_use had been raised twice and is lowered once. It takes a requester that asks the same dispatcher again under the same number, as after two links that broke in turn, and any later change by which a requester asks again.

The fault was found by reading, not in a record.

Why it works: one ticket is at most once in the queue or among the granted. A request that has its slot already is told so again, which also makes good a grant that did not arrive.

--- a/include/quincewing/dispatch/dispatcher.hpp
+++ b/include/quincewing/dispatch/dispatcher.hpp
@@ -73,6 +73,8 @@
 
     /// Replaces the list of servers that may get requests.
     void set_servers(const std::vector<backend_server>& servers);
+    /// A request that is submitted again replaces the one that waits; if it has a slot, the grant
+    /// is decided again.
     void submit(instant now, const dispatch_ticket& ticket, dispatch_request request);
     /// Withdraws a request, whether it waits or has a slot.
     void cancel(instant now, const dispatch_ticket& ticket);
@@ -130,6 +132,7 @@
     void grant(instant now, const waiting_request& waiting, server_state& state);
     void reject(const waiting_request& waiting, duration retry_after, const char* reason);
     void process_queue(instant now);
+    void remove_from_queue(const dispatch_ticket& ticket);
     void release_slot(const server_id& server);
 
     dispatcher_options options_;
--- a/src/libs/dispatch/dispatcher.cpp
+++ b/src/libs/dispatch/dispatcher.cpp
@@ -27,6 +27,12 @@
 
 void dispatcher::submit(instant now, const dispatch_ticket& ticket, dispatch_request request)
 {
+    if (const auto found = granted_.find(ticket); found != granted_.end()) {
+        // The requester asks again because the grant did not reach it.
+        decisions_.grants.push_back({.ticket = ticket, .server = found->second.server});
+        return;
+    }
+    remove_from_queue(ticket);
     waiting_request waiting{.ticket = ticket,
                             .request = std::move(request),
                             .objective = {},
@@ -63,7 +69,7 @@
 
 void dispatcher::cancel(instant now, const dispatch_ticket& ticket)
 {
-    std::erase_if(queue_, [&](const auto& queued) { return queued.ticket == ticket; });
+    remove_from_queue(ticket);
     finish(now, ticket, {.outcome = attempt_outcome::unused});
 }
 
@@ -109,6 +115,11 @@
     process_queue(now);
 }
 
+void dispatcher::remove_from_queue(const dispatch_ticket& ticket)
+{
+    std::erase_if(queue_, [&](const auto& queued) { return queued.ticket == ticket; });
+}
+
 bool dispatcher::is_queued(const dispatch_ticket& ticket) const
 {
     return std::any_of(queue_.begin(), queue_.end(),
