Dispatcher: waiting requests that no server can run any more are refused

Callers: a request that waited for a slot when the last server of its service, or the server that held its key, drained or vanished was held until shortly before its deadline and refused only then.

Cause: dispatcher::set_servers changes the servers and leaves the queue alone; process_queue looks only at free slots and the deadline. A request that comes after the change is refused at once ("no_server"), one that came before waits on.

Why it works: the tick that follows every change of the servers refuses requests of which no server is left. A request for one server has a second to go: hosts learn of a key's next owner from the coordinator's beats (four a second), or read by themselves after 0.7 s of silence, withdraw the request and ask there; a refusal before that would send away a caller whose key has a new owner.

--- a/include/quincewing/dispatch/dispatcher.hpp
+++ b/include/quincewing/dispatch/dispatcher.hpp
@@ -37,6 +37,9 @@
     double tight_deadline_share{0.5};
     /// A grant whose end is never reported is reclaimed this long after the request's deadline.
     duration reclaim_after{seconds{1}};
+    /// A waiting request for one server that is gone is rejected after this time. Before, its
+    /// requester learns of the key's next owner and asks for a slot there.
+    duration follow_owner_time{seconds{1}};
     /// Bounds of the retry-after time given to a rejected request.
     duration min_retry_after{millis{50}};
     duration max_retry_after{seconds{2}};
@@ -111,6 +114,8 @@
         instant deadline;
         /// The request may wait only while its answer is expected before this.
         instant answer_due;
+        /// Since when no server could run it; empty while one can.
+        std::optional<instant> without_server_since;
     };
     struct granted_request
     {
@@ -123,6 +128,7 @@
     server_state* choose_server(instant now, const waiting_request& waiting);
     [[nodiscard]] double cost(const server_state& state, const waiting_request& waiting) const;
     [[nodiscard]] duration expected_wait(instant now, const waiting_request& waiting) const;
+    [[nodiscard]] duration retry_after(duration wait) const;
     [[nodiscard]] duration expected_processing_time(const waiting_request& waiting) const;
     [[nodiscard]] bool is_eligible(const server_state& state, const waiting_request& waiting) const;
     /// Order in the queue: the lowest rank goes first.
@@ -132,6 +138,9 @@
     void grant(instant now, const waiting_request& waiting, server_state& state);
     void reject(const waiting_request& waiting, duration retry_after, const char* reason);
     void process_queue(instant now);
+    /// Rejects waiting requests that no server can run.
+    void reject_hopeless(instant now);
+    [[nodiscard]] bool lost_its_servers(instant now, waiting_request& waiting) const;
     void remove_from_queue(const dispatch_ticket& ticket);
     void release_slot(const server_id& server);
 
--- a/src/libs/dispatch/dispatcher.cpp
+++ b/src/libs/dispatch/dispatcher.cpp
@@ -37,7 +37,8 @@
                             .request = std::move(request),
                             .objective = {},
                             .deadline = {},
-                            .answer_due = {}};
+                            .answer_due = {},
+                            .without_server_since = {}};
     waiting.objective = now + duration{waiting.request.objective_left};
     waiting.deadline = now + duration{waiting.request.time_left};
     waiting.answer_due = answer_due(now, waiting);
@@ -59,11 +60,9 @@
     // A request whose answer would be late anyway must not take a slot from one in time.
     const auto wait = expected_wait(now, *found);
     if (now + wait + expected_processing_time(*found) > found->answer_due) {
-        const auto retry_after =
-            std::clamp<duration>(wait, options_.min_retry_after, options_.max_retry_after);
         const auto rejected = *found;
         queue_.erase(found);
-        reject(rejected, retry_after, "too_busy");
+        reject(rejected, retry_after(wait), "too_busy");
     }
 }
 
@@ -113,6 +112,7 @@
         }
     }
     process_queue(now);
+    reject_hopeless(now);
 }
 
 void dispatcher::remove_from_queue(const dispatch_ticket& ticket)
@@ -236,6 +236,11 @@
     return duration{std::llround(static_cast<double>(ahead + 1) / completions_per_us)};
 }
 
+duration dispatcher::retry_after(duration wait) const
+{
+    return std::clamp(wait, options_.min_retry_after, options_.max_retry_after);
+}
+
 // First the traffic class that is furthest behind its share; within a class first the requests
 // that can still be in time; of these the one that is due first.
 std::tuple<double, bool, instant> dispatcher::rank(instant now,
@@ -300,4 +305,37 @@
     }
 }
 
+// Servers may have been lost since a request was submitted.
+void dispatcher::reject_hopeless(instant now)
+{
+    std::vector<waiting_request> kept;
+    kept.reserve(queue_.size());
+    for (auto& it : queue_) {
+        if (lost_its_servers(now, it)) {
+            reject(it, options_.estimate.min_backoff, "no_server");
+            continue;
+        }
+        kept.push_back(std::move(it));
+    }
+    queue_ = std::move(kept);
+}
+
+bool dispatcher::lost_its_servers(instant now, waiting_request& waiting) const
+{
+    const bool any_server = std::any_of(servers_.begin(), servers_.end(), [&](const auto& entry) {
+        return is_eligible(entry.second, waiting);
+    });
+    if (any_server) {
+        waiting.without_server_since.reset();
+        return false;
+    }
+    if (waiting.request.required_server.value.empty()) {
+        return true;
+    }
+    if (!waiting.without_server_since) {
+        waiting.without_server_since = now;
+    }
+    return now - *waiting.without_server_since > options_.follow_owner_time;
+}
+
 } // namespace quincewing
--- a/tests/auto/dispatch/waiting_requests_test.cpp
+++ b/tests/auto/dispatch/waiting_requests_test.cpp
@@ -60,3 +60,43 @@
     target.submit(now, ticket_of(3), request_of(seconds{2}, seconds{4}));
     CHECK(target.take_decisions().grants.size() == 1);
 }
+
+// Guards against requests that are held until their deadline although nobody can run them any more.
+TEST_CASE("dispatcher: a waiting request is refused at once when its service has no server left")
+{
+    const instant now{seconds{10}};
+    dispatcher target;
+    target.set_servers({server_of("s1", 1)});
+    target.submit(now, ticket_of(1), request_of(seconds{2}, seconds{4}));
+    target.submit(now, ticket_of(2), request_of(seconds{2}, seconds{4}));
+    CHECK(target.take_decisions().grants.size() == 1);
+    target.set_servers({});
+    target.tick(now + millis{50});
+    const auto decisions = target.take_decisions();
+    REQUIRE(decisions.rejections.size() == 1);
+    CHECK(decisions.rejections[0].ticket == ticket_of(2));
+    CHECK(decisions.rejections[0].retry_after > duration{0});
+    CHECK(target.granted_count() == 1);
+}
+
+// The requester learns of the key's new owner by itself and asks there. The refusal is for one that
+// does not learn of it.
+TEST_CASE("dispatcher: a request for a lost owner of its key has a second to follow the key")
+{
+    const instant now{seconds{10}};
+    dispatcher target;
+    target.set_servers({server_of("s1", 1)});
+    for (const std::uint64_t number : {1, 2}) {
+        auto request = request_of(seconds{4}, seconds{6});
+        request.required_server = server_id{"s1"};
+        target.submit(now, ticket_of(number), request);
+    }
+    target.set_servers({});
+    for (auto time = duration{0}; time <= millis{900}; time += millis{50}) {
+        target.tick(now + time);
+    }
+    CHECK(target.take_decisions().rejections.empty());
+    target.tick(now + millis{1100});
+    CHECK(target.take_decisions().rejections.size() == 1);
+    CHECK(target.queue_length() == 0);
+}
