Dispatcher: a waiting request is refused once its answer is expected too late

Callers: a request that had been queued was held until its deadline less one processing time, though it was clear before that it could not be served: servers had slowed down or been lost, or others had been put before it.

Cause: whether a request can be in time is asked only when it is submitted.

Evidence: two new tests.

While all servers are in their backoff, the wait is what is left of it. The rest of the queue moves up.

--- a/include/quincewing/dispatch/dispatcher.hpp
+++ b/include/quincewing/dispatch/dispatcher.hpp
@@ -128,6 +128,8 @@
     server_state* choose_server(instant now, const waiting_request& waiting);
     [[nodiscard]] double cost(const server_state& state, const waiting_request& waiting) const;
     [[nodiscard]] duration expected_wait(instant now, const waiting_request& waiting) const;
+    [[nodiscard]] duration expected_wait(instant now, const waiting_request& waiting,
+                                         std::size_t ahead) const;
     [[nodiscard]] duration retry_after(duration wait) const;
     [[nodiscard]] duration expected_processing_time(const waiting_request& waiting) const;
     [[nodiscard]] bool is_eligible(const server_state& state, const waiting_request& waiting) const;
@@ -138,7 +140,7 @@
     void grant(instant now, const waiting_request& waiting, server_state& state);
     void reject(const waiting_request& waiting, duration retry_after, const char* reason);
     void process_queue(instant now);
-    /// Rejects waiting requests that no server can run.
+    /// Rejects waiting requests that are not expected to be served by their deadline.
     void reject_hopeless(instant now);
     [[nodiscard]] bool lost_its_servers(instant now, waiting_request& waiting) const;
     void remove_from_queue(const dispatch_ticket& ticket);
--- a/include/quincewing/dispatch/server_estimate.hpp
+++ b/include/quincewing/dispatch/server_estimate.hpp
@@ -35,6 +35,8 @@
     [[nodiscard]] double failure_rate() const { return failure_rate_; }
     /// The server gets no requests now.
     [[nodiscard]] bool backing_off(instant now) const { return now < backoff_until_; }
+    /// When the backoff ends; in the past if there is none.
+    [[nodiscard]] instant backoff_until() const { return backoff_until_; }
     /// Unreachable when last tried: it gets one request at a time until it answers one.
     [[nodiscard]] bool probing() const { return backoff_.count() > 0; }
     /// Slots in use by other dispatchers, according to the load that the server reported.
--- a/src/libs/dispatch/dispatcher.cpp
+++ b/src/libs/dispatch/dispatcher.cpp
@@ -215,24 +215,32 @@
     return n == 0 ? options_.estimate.initial_processing_time : sum / n;
 }
 
+duration dispatcher::expected_wait(instant now, const waiting_request& waiting) const
+{
+    const auto own_rank = rank(now, waiting);
+    const auto ahead = std::count_if(queue_.begin(), queue_.end(), [&](const auto& other) {
+        return other.ticket != waiting.ticket && rank(now, other) <= own_rank;
+    });
+    return expected_wait(now, waiting, static_cast<std::size_t>(ahead));
+}
+
 // The time until the eligible servers complete as many requests as are ahead in the queue, and
 // one more for this one.
-duration dispatcher::expected_wait(instant now, const waiting_request& waiting) const
+duration dispatcher::expected_wait(instant now, const waiting_request& waiting,
+                                   std::size_t ahead) const
 {
     double completions_per_us = 0;
+    auto backoff_left = options_.estimate.max_backoff;
     for (const auto& [id, state] : servers_) {
         if (is_eligible(state, waiting)) {
             completions_per_us += slot_limit(now, state) /
                                   static_cast<double>(state.estimate.processing_time().count() + 1);
+            backoff_left = std::min(backoff_left, state.estimate.backoff_until() - now);
         }
     }
     if (completions_per_us <= 0) {
-        return options_.estimate.min_backoff;
+        return std::max(backoff_left, duration{0});
     }
-    const auto own_rank = rank(now, waiting);
-    const auto ahead = std::count_if(queue_.begin(), queue_.end(), [&](const auto& other) {
-        return other.ticket != waiting.ticket && rank(now, other) <= own_rank;
-    });
     return duration{std::llround(static_cast<double>(ahead + 1) / completions_per_us)};
 }
 
@@ -305,7 +313,8 @@
     }
 }
 
-// Servers may have been lost since a request was submitted.
+// The queue is in order. Servers may have slowed down or been lost since a request was submitted,
+// and others may have been put before it.
 void dispatcher::reject_hopeless(instant now)
 {
     std::vector<waiting_request> kept;
@@ -315,6 +324,11 @@
             reject(it, options_.estimate.min_backoff, "no_server");
             continue;
         }
+        const auto wait = expected_wait(now, it, kept.size());
+        if (!it.without_server_since && now + wait + expected_processing_time(it) > it.deadline) {
+            reject(it, retry_after(wait), "too_busy");
+            continue;
+        }
         kept.push_back(std::move(it));
     }
     queue_ = std::move(kept);
--- a/tests/auto/dispatch/waiting_requests_test.cpp
+++ b/tests/auto/dispatch/waiting_requests_test.cpp
@@ -100,3 +100,41 @@
     CHECK(target.take_decisions().rejections.size() == 1);
     CHECK(target.queue_length() == 0);
 }
+
+TEST_CASE("dispatcher: a waiting request is refused once its answer is expected after its deadline")
+{
+    const instant now{seconds{10}};
+    dispatcher target;
+    target.set_servers({server_of("s1", 1)});
+    target.submit(now, ticket_of(1), request_of(seconds{4}, seconds{4}));
+    target.submit(now, ticket_of(2), request_of(millis{2900}, millis{2900}));
+    target.submit(now, ticket_of(3), request_of(millis{2900}, millis{2900}));
+    target.submit(now, ticket_of(4), request_of(seconds{4}, seconds{4}));
+    target.take_decisions();
+    // The server turns out to need a second for each: 2 begins now and 3 would end too late.
+    target.finish(now + seconds{1}, ticket_of(1), answered_after(seconds{1}));
+    target.tick(now + seconds{1});
+    const auto decisions = target.take_decisions();
+    CHECK(decisions.grants.size() == 1);
+    REQUIRE(decisions.rejections.size() == 1);
+    CHECK(decisions.rejections[0].ticket == ticket_of(3));
+    CHECK(decisions.rejections[0].retry_after >= seconds{1});
+    CHECK(target.queue_length() == 1);
+}
+
+TEST_CASE("dispatcher: a waiting request is refused when all servers are lost beyond its deadline")
+{
+    const instant now{seconds{10}};
+    dispatcher target;
+    target.set_servers({server_of("s1", 1)});
+    target.submit(now, ticket_of(1), request_of(millis{500}, millis{500}));
+    target.submit(now, ticket_of(2), request_of(millis{500}, millis{500}));
+    target.submit(now, ticket_of(3), request_of(seconds{4}, seconds{4}));
+    target.take_decisions();
+    target.finish(now, ticket_of(1), {.outcome = attempt_outcome::connection_lost});
+    target.tick(now);
+    const auto decisions = target.take_decisions();
+    REQUIRE(decisions.rejections.size() == 1);
+    CHECK(decisions.rejections[0].ticket == ticket_of(2));
+    CHECK(target.queue_length() == 1);
+}
