Slots: a request that is asked for again has only the rest of its time

Callers: a request whose dispatcher was lost or silent was held by the next one for up to as long again as it had waited, until the caller's deadline, where it could have been refused or put first.

Cause: dispatch_task kept the request as it was first asked for, with the time to its objective and deadline as of then, and sent the same times again (send_to_dispatcher, submit_to_fallback).

Why it works: the request keeps both as points in time, and each message carries what is left of them.

--- a/src/plugins/entry/dispatch_task.cpp
+++ b/src/plugins/entry/dispatch_task.cpp
@@ -72,14 +72,27 @@
 std::uint64_t dispatch_task::request_slot(dispatch_request request, slot_hooks hooks)
 {
     const auto number = next_number_++;
+    const auto now = monotonic_now();
+    const auto objective = now + duration{request.objective_left};
+    const auto deadline = now + duration{request.time_left};
     requests_[number] = {.request = std::move(request),
+                         .objective = objective,
+                         .deadline = deadline,
                          .hooks = std::move(hooks),
                          .dispatcher_host = {},
-                         .asked_at = monotonic_now()};
+                         .asked_at = now};
     send_to_dispatcher(number);
     return number;
 }
 
+dispatch_request dispatch_task::with_time_left(const pending_request& it, instant now)
+{
+    auto out = it.request;
+    out.objective_left = (it.objective - now).count();
+    out.time_left = (it.deadline - now).count();
+    return out;
+}
+
 void dispatch_task::send_to_dispatcher(std::uint64_t number)
 {
     auto& it = requests_.at(number);
@@ -88,11 +101,12 @@
     it.asked_at = monotonic_now();
     it.acknowledged = false;
     it.uses_fallback = false;
+    const auto request = with_time_left(it, it.asked_at);
     if (it.dispatcher_host == context_.self) {
-        submit(id, false, {.host = context_.self, .number = number}, it.request);
+        submit(id, false, {.host = context_.self, .number = number}, request);
         return;
     }
-    peers_.send(it.dispatcher_host, place_request{.number = number, .request = it.request});
+    peers_.send(it.dispatcher_host, place_request{.number = number, .request = request});
 }
 
 void dispatch_task::submit_to_fallback(std::uint64_t number)
@@ -101,7 +115,17 @@
     it.uses_fallback = true;
     it.acknowledged = true;
     it.dispatcher_host = context_.self;
-    submit(group_of(it.request), true, {.host = context_.self, .number = number}, it.request);
+    submit(group_of(it.request), true, {.host = context_.self, .number = number},
+           with_time_left(it, monotonic_now()));
+}
+
+void dispatch_task::ask_elsewhere(const host_id& host)
+{
+    for (const auto number : waiting_at(host)) {
+        if (requests_.contains(number)) {
+            send_to_dispatcher(number);
+        }
+    }
 }
 
 void dispatch_task::submit(const group_id& id, bool fallback, const dispatch_ticket& ticket,
@@ -224,8 +248,7 @@
     const auto found = requests_.find(it.number);
     if (found == requests_.end() || found->second.granted ||
         found->second.dispatcher_host != from) {
-        // The request ended or got a slot elsewhere: either place_done was sent already, or the
-        // dispatcher reclaims the slot after a timeout.
+        // The request ended or got a slot elsewhere, and place_done was sent.
         return;
     }
     deliver_grant(it.number, it.server);
@@ -262,17 +285,7 @@
         it.remove_host(now, host);
         deliver_decisions(it);
     }
-    std::vector<std::uint64_t> orphaned;
-    for (const auto& [number, it] : requests_) {
-        if (it.dispatcher_host == host && !it.granted) {
-            orphaned.push_back(number);
-        }
-    }
-    for (const auto number : orphaned) {
-        if (requests_.contains(number)) {
-            send_to_dispatcher(number);
-        }
-    }
+    ask_elsewhere(host);
 }
 
 void dispatch_task::tick(instant now)
@@ -287,25 +300,43 @@
     }
     std::vector<std::uint64_t> unanswered;
     for (const auto& [number, it] : requests_) {
-        const bool remote = it.dispatcher_host != context_.self;
-        if (remote && !it.acknowledged && !it.granted && now - it.asked_at > acknowledge_timeout) {
+        if (waits_elsewhere(it) && !it.acknowledged && now - it.asked_at > acknowledge_timeout) {
             unanswered.push_back(number);
         }
     }
     for (const auto number : unanswered) {
         const auto found = requests_.find(number);
-        if (found == requests_.end()) {
-            continue;
-        }
-        if (unresponsive_until_.emplace(found->second.dispatcher_host, now + unresponsive_period)
-                .second) {
-            log_event("dispatcher_silent", {{"host", found->second.dispatcher_host.value}});
+        if (found != requests_.end()) {
+            skip_dispatchers_of(found->second.dispatcher_host, now);
+            submit_to_fallback(number);
         }
-        submit_to_fallback(number);
     }
     std::erase_if(unresponsive_until_, [&](const auto& it) { return now > it.second; });
 }
 
+void dispatch_task::skip_dispatchers_of(const host_id& host, instant now)
+{
+    if (unresponsive_until_.emplace(host, now + unresponsive_period).second) {
+        log_event("dispatcher_silent", {{"host", host.value}});
+    }
+}
+
+bool dispatch_task::waits_elsewhere(const pending_request& it) const
+{
+    return !it.granted && it.dispatcher_host != context_.self;
+}
+
+std::vector<std::uint64_t> dispatch_task::waiting_at(const host_id& host) const
+{
+    std::vector<std::uint64_t> out;
+    for (const auto& [number, it] : requests_) {
+        if (!it.granted && it.dispatcher_host == host) {
+            out.push_back(number);
+        }
+    }
+    return out;
+}
+
 std::size_t dispatch_task::waiting() const
 {
     return static_cast<std::size_t>(std::count_if(
--- a/src/plugins/entry/dispatch_task.hpp
+++ b/src/plugins/entry/dispatch_task.hpp
@@ -61,6 +61,8 @@
     struct pending_request
     {
         dispatch_request request;
+        instant objective;
+        instant deadline;
         slot_hooks hooks;
         host_id dispatcher_host;
         instant asked_at;
@@ -77,7 +79,14 @@
         return {it.service, it.required_server};
     }
     dispatcher& get_dispatcher(const group_id& id, bool fallback);
+    [[nodiscard]] static dispatch_request with_time_left(const pending_request& it, instant now);
+    /// Whether it waits for a slot from another host's dispatcher.
+    [[nodiscard]] bool waits_elsewhere(const pending_request& it) const;
+    [[nodiscard]] std::vector<std::uint64_t> waiting_at(const host_id& host) const;
     void send_to_dispatcher(std::uint64_t number);
+    /// Asks again for slots for all requests that wait at this host.
+    void ask_elsewhere(const host_id& host);
+    void skip_dispatchers_of(const host_id& host, instant now);
     void submit_to_fallback(std::uint64_t number);
     void submit(const group_id& id, bool fallback, const dispatch_ticket& ticket,
                 dispatch_request request);
--- /dev/null
+++ b/tests/auto/entry/slot_messages_test.cpp
@@ -0,0 +1,198 @@
+#include "../../../src/plugins/entry/dispatch_task.hpp"
+
+#include "small_deployment.hpp"
+
+#include "quincewing/base/hash.hpp"
+
+#include <doctest/doctest.h>
+#include <memory>
+#include <optional>
+
+using namespace quincewing;
+using namespace quincewing::testing;
+
+namespace {
+
+const server_id only_server{"s1"};
+
+backend_servers one_server(const service_id& service)
+{
+    return {{only_server,
+             {.id = only_server,
+              .start = server_start{1},
+              .service = service,
+              .data_centre = data_centre_id{"dc"},
+              .slots = 1}}};
+}
+
+/// The part of an entry host that obtains slots, with its links to other hosts.
+class slot_host
+{
+public:
+    slot_host(event_loop& loop, std::uint64_t instance)
+        : address("127.0.0.1:" + std::to_string(free_port())),
+          id(make_host_id(address, instance)), context_{loop, settings_, platform_,
+                                                        view, metrics_,  id},
+          peers(loop, {.self = id, .address = address, .listen = address},
+                {.on_message = [this](const envelope& it) { on_message(it); },
+                 .on_connected = [](const host_id&, const data_centre_id&) {},
+                 .on_disconnected = [this](const host_id& host) { dispatch.on_host_lost(host); },
+                 .on_process_gone = [](const host_id&) {}}),
+          dispatch(context_, peers), tick_timer_(loop, [this] { dispatch.tick(monotonic_now()); })
+    {
+        REQUIRE(peers.start());
+        tick_timer_.every(millis{50});
+    }
+
+    std::string address;
+    host_id id;
+    deployment_view view{1};
+
+private:
+    void on_message(const envelope& it)
+    {
+        if (drop && drop(it.body)) {
+            return;
+        }
+        received.push_back(it.body);
+        std::visit(
+            [&](const auto& body) {
+                if constexpr (requires { dispatch.on_message(it.from, body); }) {
+                    dispatch.on_message(it.from, body);
+                } else if constexpr (std::is_same_v<std::decay_t<decltype(body)>, host_leaving>) {
+                    dispatch.on_host_leaving(it.from);
+                }
+            },
+            it.body);
+    }
+
+    entry_settings settings_;
+    deployment_api platform_;
+    registry metrics_;
+    host_context context_;
+
+public:
+    peers_task peers;
+    dispatch_task dispatch;
+    std::vector<message> received;
+    /// Messages for which it returns true are lost on their way to this host.
+    std::function<bool(const message&)> drop;
+
+private:
+    timer tick_timer_;
+};
+
+/// A request for a slot, and what became of it.
+struct slot_request
+{
+    std::uint64_t number{};
+    std::optional<server_id> server;
+    std::optional<std::string> refused;
+};
+
+/// Two connected hosts and a service with one server of one slot, whose dispatcher is the second.
+class two_hosts
+{
+public:
+    two_hosts() : requester(loop, 1), owner(loop, 2)
+    {
+        for (int i = 0; service.value.empty(); ++i) {
+            const auto name = "desk" + std::to_string(i);
+            if (stable_hash(name + "//" + owner.id.value) >
+                stable_hash(name + "//" + requester.id.value)) {
+                service = service_id{name};
+            }
+        }
+        requester.view.apply_servers(one_server(service));
+        owner.view.apply_servers(one_server(service));
+        requester.peers.connect_to({owner.address});
+        owner.peers.connect_to({requester.address});
+        run(millis{100});
+        REQUIRE(requester.peers.connected(owner.id));
+        REQUIRE(owner.peers.connected(requester.id));
+    }
+
+    void run(duration time)
+    {
+        timer end{loop, [this] { loop.stop(); }};
+        end.once(time);
+        loop.run();
+    }
+    std::shared_ptr<slot_request> request(slot_host& host, duration objective, duration time_left)
+    {
+        auto out = std::make_shared<slot_request>();
+        dispatch_request request{.service = service,
+                                 .data_centre = data_centre_id{"dc"},
+                                 .objective_left = objective.count(),
+                                 .time_left = time_left.count()};
+        out->number = host.dispatch.request_slot(
+            std::move(request),
+            {.on_granted = [out](std::uint64_t, const server_id& server) { out->server = server; },
+             .on_refused = [out](duration, const std::string& reason) { out->refused = reason; }});
+        return out;
+    }
+    std::shared_ptr<slot_request> request(slot_host& host)
+    {
+        return request(host, seconds{4}, seconds{5});
+    }
+    static void finish(slot_host& host, const slot_request& it)
+    {
+        host.dispatch.release_slot(it.number,
+                                   {.outcome = attempt_outcome::answered, .took = 50000});
+    }
+
+    event_loop loop;
+    slot_host requester;
+    slot_host owner;
+    service_id service;
+};
+
+template <class T>
+std::vector<T> messages_of(const std::vector<message>& all)
+{
+    std::vector<T> out;
+    for (const auto& it : all) {
+        if (const auto* body = std::get_if<T>(&it)) {
+            out.push_back(*body);
+        }
+    }
+    return out;
+}
+
+template <class T>
+bool is(const message& it)
+{
+    return std::holds_alternative<T>(it);
+}
+
+} // namespace
+
+TEST_CASE("slot messages: a queued request gets the slot that another host frees")
+{
+    two_hosts hosts;
+    const auto first = hosts.request(hosts.owner);
+    const auto second = hosts.request(hosts.requester);
+    hosts.run(millis{100});
+    REQUIRE(first->server);
+    CHECK(!second->server);
+    two_hosts::finish(hosts.owner, *first);
+    hosts.run(millis{100});
+    CHECK(second->server);
+}
+
+// Guards against requests that wait until their deadline for a dispatcher that took long enough for
+// the requester to ask another: it was told of neither the time that had passed nor the deadline.
+TEST_CASE("slot messages: a request that is asked for again has only the rest of its time")
+{
+    two_hosts hosts;
+    const auto first = hosts.request(hosts.owner);
+    const auto second = hosts.request(hosts.requester, seconds{2}, seconds{3});
+    hosts.run(millis{600});
+    hosts.requester.dispatch.on_host_lost(hosts.owner.id);
+    hosts.run(millis{100});
+    const auto asked = messages_of<place_request>(hosts.owner.received);
+    REQUIRE(asked.size() == 2);
+    CHECK(asked[1].number == asked[0].number);
+    CHECK(asked[1].request.time_left <= duration{millis{2450}}.count());
+    CHECK(asked[1].request.objective_left <= duration{millis{1450}}.count());
+}
