Slots: a request that is asked for elsewhere is withdrawn where it was asked for

Callers: while a dispatcher's host is slow, requests of all hosts were refused or waited although the servers had free slots.

Cause: a requester that hears nothing for 120 ms grants itself a slot and tells the dispatcher nothing. When the dispatcher comes to the place_request, it grants a slot that nobody uses and nobody frees, until a second after the request's deadline; the comment said that place_done had been sent.

Why it works: before a request is asked for at another dispatcher, place_done goes to the former one. The link delivers in order, so that it comes after the place_request and either takes the request from the queue or frees its slot.

--- a/src/plugins/entry/dispatch_task.cpp
+++ b/src/plugins/entry/dispatch_task.cpp
@@ -95,6 +95,7 @@
 
 void dispatch_task::send_to_dispatcher(std::uint64_t number)
 {
+    withdraw(number);
     auto& it = requests_.at(number);
     const auto id = group_of(it.request);
     it.dispatcher_host = dispatcher_host_of(id);
@@ -111,6 +112,7 @@
 
 void dispatch_task::submit_to_fallback(std::uint64_t number)
 {
+    withdraw(number);
     auto& it = requests_.at(number);
     it.uses_fallback = true;
     it.acknowledged = true;
@@ -190,6 +192,20 @@
     }
     const auto it = std::move(found->second);
     requests_.erase(found);
+    return_place(number, it, report);
+}
+
+void dispatch_task::withdraw(std::uint64_t number)
+{
+    const auto it = requests_.at(number);
+    if (!it.dispatcher_host.value.empty()) {
+        return_place(number, it, {.outcome = attempt_outcome::unused});
+    }
+}
+
+void dispatch_task::return_place(std::uint64_t number, const pending_request& it,
+                                 const attempt_report& report)
+{
     const auto id = group_of(it.request);
     if (it.dispatcher_host != context_.self) {
         peers_.send(it.dispatcher_host, place_done{.number = number,
--- a/src/plugins/entry/dispatch_task.hpp
+++ b/src/plugins/entry/dispatch_task.hpp
@@ -86,6 +86,10 @@
     void send_to_dispatcher(std::uint64_t number);
     /// Asks again for slots for all requests that wait at this host.
     void ask_elsewhere(const host_id& host);
+    /// Withdraws the request from the dispatcher that was asked last.
+    void withdraw(std::uint64_t number);
+    void return_place(std::uint64_t number, const pending_request& it,
+                      const attempt_report& report);
     void skip_dispatchers_of(const host_id& host, instant now);
     void submit_to_fallback(std::uint64_t number);
     void submit(const group_id& id, bool fallback, const dispatch_ticket& ticket,
--- a/tests/auto/entry/slot_messages_test.cpp
+++ b/tests/auto/entry/slot_messages_test.cpp
@@ -196,3 +196,18 @@
     CHECK(asked[1].request.time_left <= duration{millis{2450}}.count());
     CHECK(asked[1].request.objective_left <= duration{millis{1450}}.count());
 }
+
+// Guards against a slot that stays taken until after the deadline of a request that gave up on it.
+TEST_CASE("slot messages: a request that is served elsewhere gives up its place at the dispatcher")
+{
+    two_hosts hosts;
+    hosts.requester.drop = [](const message& it) { return is<place_given>(it); };
+    const auto first = hosts.request(hosts.requester);
+    hosts.run(millis{300});
+    CHECK(first->server);
+    two_hosts::finish(hosts.requester, *first);
+    hosts.run(millis{100});
+    const auto second = hosts.request(hosts.owner);
+    hosts.run(millis{100});
+    CHECK(second->server);
+}
