Slots: only the dispatcher that was asked confirms a request

Callers: a request could wait until its deadline for a dispatcher that never got it.

Cause: a place_queued was taken from any host. One of a former dispatcher that came after the request had been asked for elsewhere made the requester trust that the second has it, and never ask again.

Found by reading, not in a record.

Why it works: place_queued counts only from the host that was asked last, as place_given and place_refused do already.

--- a/src/plugins/entry/dispatch_task.cpp
+++ b/src/plugins/entry/dispatch_task.cpp
@@ -251,10 +251,10 @@
 
 // ---- replies from other hosts' dispatchers
 
-void dispatch_task::on_message(const host_id&, const place_queued& it)
+void dispatch_task::on_message(const host_id& from, const place_queued& it)
 {
     const auto found = requests_.find(it.number);
-    if (found != requests_.end()) {
+    if (found != requests_.end() && found->second.dispatcher_host == from) {
         found->second.acknowledged = true;
     }
 }
--- a/tests/auto/entry/slot_messages_test.cpp
+++ b/tests/auto/entry/slot_messages_test.cpp
@@ -211,3 +211,15 @@
     hosts.run(millis{100});
     CHECK(second->server);
 }
+
+// Guards against a request that is lost on its way and waits until its deadline, because another
+// dispatcher had confirmed it before.
+TEST_CASE("slot messages: only the dispatcher that was asked confirms a request")
+{
+    two_hosts hosts;
+    hosts.owner.drop = [](const message& it) { return is<place_request>(it); };
+    const auto it = hosts.request(hosts.requester);
+    hosts.requester.dispatch.on_message(host_id{"another"}, place_queued{.number = it->number});
+    hosts.run(millis{400});
+    CHECK(it->server);
+}
