Slots: a requester and a dispatcher compare which requests wait

Callers: a request that had been queued at a dispatcher was never answered before its deadline (or before the end of its host) when one message about it was lost or the dispatcher had dropped it; a slot whose release was lost stayed taken until a second after the deadline, and others were refused meanwhile.

Cause: after place_queued the requester waits without limit. The dispatcher's own link to the requester can break alone: dispatcher::remove_host then drops the requests and nobody tells the requester, whose link stands; place_given and place_refused that are sent meanwhile are dropped by peers_task::send without a word, or are lost in a connection that went silent, for up to 1.6 s. The other direction loses place_done in the same way.

Why it works: a request that has been queued for 400 ms makes its host send one place_check to the dispatcher's host, with all its requests there. The dispatcher drops what is not in the list (the link delivers in order, so that it is over), sends place_given again for what has a slot, and names what it does not know, which is asked for again. Without an answer in 400 ms the requests go to the host's own slots, as those that were never confirmed. A host also sends the list once when a link stands again and when it gets a slot that it has no use for. Requests that get a slot at once cost no message more.

--- a/include/quincewing/dispatch/dispatcher.hpp
+++ b/include/quincewing/dispatch/dispatcher.hpp
@@ -85,6 +85,8 @@
     void finish(instant now, const dispatch_ticket& ticket, const attempt_report& report);
     /// Drops all requests of an entry host that was lost, and frees their slots.
     void remove_host(instant now, const host_id& host);
+    /// Drops the requests of an entry host but those with these numbers, and frees their slots.
+    void keep_only(instant now, const host_id& host, const std::set<std::uint64_t>& numbers);
     /// Rejects requests that can no longer be served in time and reclaims slots whose end was
     /// never reported.
     void tick(instant now);
@@ -93,6 +95,8 @@
     dispatch_decisions take_decisions() { return std::exchange(decisions_, {}); }
 
     [[nodiscard]] bool is_queued(const dispatch_ticket& ticket) const;
+    /// The server at which the request has a slot.
+    [[nodiscard]] std::optional<server_id> granted_server(const dispatch_ticket& ticket) const;
     [[nodiscard]] std::size_t queue_length() const { return queue_.size(); }
     [[nodiscard]] std::size_t granted_count() const { return granted_.size(); }
     [[nodiscard]] bool idle() const { return queue_.empty() && granted_.empty(); }
--- a/include/quincewing/wire/messages.hpp
+++ b/include/quincewing/wire/messages.hpp
@@ -423,6 +423,33 @@
     }
 };
 
+/// All requests that the sender has at the receiver's dispatchers. Those that are not in the list
+/// are done, and their places are free.
+struct place_check
+{
+    std::vector<std::uint64_t> waiting;
+    std::vector<std::uint64_t> granted;
+
+    template <class F>
+    void each_field(F&& f)
+    {
+        f(waiting);
+        f(granted);
+    }
+};
+
+/// Answer to a place_check: which of the waiting requests the dispatchers do not have.
+struct place_check_result
+{
+    std::vector<std::uint64_t> unknown;
+
+    template <class F>
+    void each_field(F&& f)
+    {
+        f(unknown);
+    }
+};
+
 /// The sender stops soon: no new work for it.
 struct host_leaving
 {
@@ -435,11 +462,12 @@
     }
 };
 
-using message = std::variant<pair_heartbeat, pair_ack, ledger_update, release_request,
-                             shard_release, release_taken, leader_hint, heartbeat, state_request,
-                             state_reply, suspect_notice, late_answer, shard_hint, coordinator_beat,
-                             news_request, coordinator_news, load_report, place_request,
-                             place_queued, place_given, place_refused, place_done, host_leaving>;
+using message =
+    std::variant<pair_heartbeat, pair_ack, ledger_update, release_request, shard_release,
+                 release_taken, leader_hint, heartbeat, state_request, state_reply, suspect_notice,
+                 late_answer, shard_hint, coordinator_beat, news_request, coordinator_news,
+                 load_report, place_request, place_queued, place_given, place_refused, place_done,
+                 host_leaving, place_check, place_check_result>;
 
 /// A message between two entry hosts; dropped unless it is for this very process.
 struct envelope
--- a/src/libs/dispatch/dispatcher.cpp
+++ b/src/libs/dispatch/dispatcher.cpp
@@ -89,16 +89,28 @@
 
 void dispatcher::remove_host(instant now, const host_id& host)
 {
-    std::erase_if(queue_, [&](const auto& queued) { return queued.ticket.host == host; });
+    keep_only(now, host, {});
+}
+
+void dispatcher::keep_only(instant now, const host_id& host, const std::set<std::uint64_t>& numbers)
+{
+    const auto dropped = [&](const dispatch_ticket& ticket) {
+        return ticket.host == host && !numbers.contains(ticket.number);
+    };
+    std::erase_if(queue_, [&](const auto& queued) { return dropped(queued.ticket); });
+    bool freed = false;
     for (auto it = granted_.begin(); it != granted_.end();) {
-        if (it->first.host == host) {
+        if (dropped(it->first)) {
             release_slot(it->second.server);
             it = granted_.erase(it);
+            freed = true;
         } else {
             ++it;
         }
     }
-    process_queue(now);
+    if (freed) {
+        process_queue(now);
+    }
 }
 
 void dispatcher::tick(instant now)
@@ -126,6 +138,12 @@
                        [&](const auto& queued) { return queued.ticket == ticket; });
 }
 
+std::optional<server_id> dispatcher::granted_server(const dispatch_ticket& ticket) const
+{
+    const auto found = granted_.find(ticket);
+    return found == granted_.end() ? std::nullopt : std::optional{found->second.server};
+}
+
 void dispatcher::release_slot(const server_id& server)
 {
     const auto found = servers_.find(server);
--- a/src/plugins/entry/dispatch_task.cpp
+++ b/src/plugins/entry/dispatch_task.cpp
@@ -80,7 +80,8 @@
                          .deadline = deadline,
                          .hooks = std::move(hooks),
                          .dispatcher_host = {},
-                         .asked_at = now};
+                         .asked_at = now,
+                         .confirmed_at = now};
     send_to_dispatcher(number);
     return number;
 }
@@ -208,6 +209,10 @@
 {
     const auto id = group_of(it.request);
     if (it.dispatcher_host != context_.self) {
+        if (!peers_.connected(it.dispatcher_host)) {
+            to_check_[it.dispatcher_host] = monotonic_now();
+            return;
+        }
         peers_.send(it.dispatcher_host, place_done{.number = number,
                                                    .service = id.service,
                                                    .only = id.keyed_server,
@@ -256,18 +261,21 @@
     const auto found = requests_.find(it.number);
     if (found != requests_.end() && found->second.dispatcher_host == from) {
         found->second.acknowledged = true;
+        found->second.confirmed_at = monotonic_now();
     }
 }
 
 void dispatch_task::on_message(const host_id& from, const place_given& it)
 {
     const auto found = requests_.find(it.number);
-    if (found == requests_.end() || found->second.granted ||
-        found->second.dispatcher_host != from) {
-        // The request ended or got a slot elsewhere, and place_done was sent.
+    if (found == requests_.end() || found->second.dispatcher_host != from) {
+        // The request ended or was sent elsewhere, and the dispatcher may not have been told.
+        to_check_[from] = monotonic_now();
         return;
     }
-    deliver_grant(it.number, it.server);
+    if (!found->second.granted) {
+        deliver_grant(it.number, it.server);
+    }
 }
 
 void dispatch_task::on_message(const host_id& from, const place_refused& it)
@@ -301,6 +309,9 @@
         it.remove_host(now, host);
         deliver_decisions(it);
     }
+    checks_sent_.erase(host);
+    // What was sent last may not have arrived.
+    to_check_[host] = now;
     ask_elsewhere(host);
 }
 
@@ -327,6 +338,7 @@
             submit_to_fallback(number);
         }
     }
+    check_dispatchers(now);
     std::erase_if(unresponsive_until_, [&](const auto& it) { return now > it.second; });
 }
 
--- a/src/plugins/entry/dispatch_task.hpp
+++ b/src/plugins/entry/dispatch_task.hpp
@@ -44,6 +44,8 @@
     void on_message(const host_id& from, const place_given& it);
     void on_message(const host_id& from, const place_refused& it);
     void on_message(const host_id& from, const place_done& it);
+    void on_message(const host_id& from, const place_check& it);
+    void on_message(const host_id& from, const place_check_result& it);
 
     /// Number of this host's requests that have no slot yet.
     [[nodiscard]] std::size_t waiting() const;
@@ -66,6 +68,8 @@
         slot_hooks hooks;
         host_id dispatcher_host;
         instant asked_at;
+        /// When the dispatcher last confirmed that it has queued the request.
+        instant confirmed_at;
         /// The dispatcher confirmed that it has queued the request.
         bool acknowledged{};
         bool granted{};
@@ -91,6 +95,11 @@
     void return_place(std::uint64_t number, const pending_request& it,
                       const attempt_report& report);
     void skip_dispatchers_of(const host_id& host, instant now);
+    void check_dispatchers(instant now);
+    void send_check(const host_id& host, instant now);
+    void on_silent(const host_id& host, instant now);
+    /// Whether the dispatcher has the request. If it has a slot, the grant is sent again.
+    bool confirm(const dispatcher& target, const dispatch_ticket& ticket);
     void submit_to_fallback(std::uint64_t number);
     void submit(const group_id& id, bool fallback, const dispatch_ticket& ticket,
                 dispatch_request request);
@@ -107,6 +116,10 @@
     std::set<host_id> leaving_;
     /// Hosts whose dispatcher did not answer, and until when they are not asked again.
     std::map<host_id, instant> unresponsive_until_;
+    /// Hosts whose answer to a place_check is due, and when it was sent.
+    std::map<host_id, instant> checks_sent_;
+    /// Hosts that may hold slots for requests that are over, and since when.
+    std::map<host_id, instant> to_check_;
     std::uint64_t next_number_{1};
 };
 
--- a/tests/auto/entry/slot_messages_test.cpp
+++ b/tests/auto/entry/slot_messages_test.cpp
@@ -223,3 +223,60 @@
     hosts.run(millis{400});
     CHECK(it->server);
 }
+
+// Guards against requests that wait until their deadline for a dispatcher that has dropped them,
+// since only its own link to the requester had broken.
+TEST_CASE("slot messages: a request that the dispatcher has forgotten is asked for again")
+{
+    two_hosts hosts;
+    const auto first = hosts.request(hosts.owner);
+    const auto second = hosts.request(hosts.requester);
+    hosts.run(millis{100});
+    hosts.owner.dispatch.on_host_lost(hosts.requester.id);
+    two_hosts::finish(hosts.owner, *first);
+    hosts.run(millis{1000});
+    CHECK(second->server);
+}
+
+TEST_CASE("slot messages: a grant that is lost on its way is sent again")
+{
+    two_hosts hosts;
+    const auto first = hosts.request(hosts.owner);
+    const auto second = hosts.request(hosts.requester);
+    hosts.run(millis{100});
+    int lost = 0;
+    hosts.requester.drop = [&lost](const message& it) {
+        return is<place_given>(it) && lost++ == 0;
+    };
+    two_hosts::finish(hosts.owner, *first);
+    hosts.run(millis{1000});
+    CHECK(lost >= 1);
+    CHECK(second->server);
+}
+
+TEST_CASE("slot messages: a queued request does not wait for a dispatcher that stopped answering")
+{
+    two_hosts hosts;
+    const auto first = hosts.request(hosts.owner);
+    const auto second = hosts.request(hosts.requester);
+    hosts.run(millis{100});
+    hosts.owner.drop = [](const message&) { return true; };
+    hosts.run(millis{1200});
+    CHECK(second->server);
+}
+
+TEST_CASE("slot messages: a slot whose release is lost with the link is free when the link is back")
+{
+    two_hosts hosts;
+    const auto first = hosts.request(hosts.requester);
+    hosts.run(millis{100});
+    REQUIRE(first->server);
+    hosts.owner.drop = [](const message& it) { return is<place_done>(it); };
+    two_hosts::finish(hosts.requester, *first);
+    hosts.run(millis{100});
+    hosts.requester.dispatch.on_host_lost(hosts.owner.id);
+    hosts.run(millis{200});
+    const auto second = hosts.request(hosts.owner);
+    hosts.run(millis{100});
+    CHECK(second->server);
+}
