Slots: a host that stops or has just started takes no requests for slots

Callers: requests that waited at a stopping host's dispatcher stayed there until the process ended, while a second dispatcher gave out the same slots; new ones were added by hosts that did not hear of the stop. A host that had just started refused the requests of others with "no_server".

Cause: host_leaving only changed where later requests go. A host whose servers are not known yet counts as a dispatcher as soon as its link stands.

Why it works: on host_leaving the requests that wait there are withdrawn and asked for at the next dispatcher with what is left of their time.

--- a/include/quincewing/wire/messages.hpp
+++ b/include/quincewing/wire/messages.hpp
@@ -423,6 +423,18 @@
     }
 };
 
+/// The sender takes no new requests for a place: it stops, or knows no servers yet.
+struct place_declined
+{
+    std::uint64_t number{};
+
+    template <class F>
+    void each_field(F&& f)
+    {
+        f(number);
+    }
+};
+
 /// All requests that the sender has at the receiver's dispatchers. Those that are not in the list
 /// are done, and their places are free.
 struct place_check
@@ -467,7 +479,7 @@
                  release_taken, leader_hint, heartbeat, state_request, state_reply, suspect_notice,
                  late_answer, shard_hint, coordinator_beat, news_request, coordinator_news,
                  load_report, place_request, place_queued, place_given, place_refused, place_done,
-                 host_leaving, place_check, place_check_result>;
+                 host_leaving, place_declined, place_check, place_check_result>;
 
 /// A message between two entry hosts; dropped unless it is for this very process.
 struct envelope
--- a/src/plugins/entry/dispatch_task.cpp
+++ b/src/plugins/entry/dispatch_task.cpp
@@ -233,6 +233,10 @@
 
 void dispatch_task::on_message(const host_id& from, const place_request& it)
 {
+    if (leaving_.contains(context_.self) || !context_.view.servers_known()) {
+        peers_.send(from, place_declined{.number = it.number});
+        return;
+    }
     const dispatch_ticket ticket{.host = from, .number = it.number};
     const auto id = group_of(it.request);
     submit(id, false, ticket, it.request);
@@ -315,6 +319,14 @@
     ask_elsewhere(host);
 }
 
+void dispatch_task::on_host_leaving(const host_id& host)
+{
+    leaving_.insert(host);
+    if (host != context_.self) {
+        ask_elsewhere(host);
+    }
+}
+
 void dispatch_task::tick(instant now)
 {
     for (auto* all : {&dispatchers_, &fallback_dispatchers_}) {
--- a/src/plugins/entry/dispatch_task.hpp
+++ b/src/plugins/entry/dispatch_task.hpp
@@ -36,7 +36,9 @@
 
     void on_servers(instant now);
     void on_host_lost(const host_id& host);
-    void on_host_leaving(const host_id& host) { leaving_.insert(host); }
+    /// The host's dispatchers take no more requests; requests that wait there are asked for
+    /// elsewhere.
+    void on_host_leaving(const host_id& host);
     void tick(instant now);
 
     void on_message(const host_id& from, const place_request& it);
@@ -44,6 +46,7 @@
     void on_message(const host_id& from, const place_given& it);
     void on_message(const host_id& from, const place_refused& it);
     void on_message(const host_id& from, const place_done& it);
+    void on_message(const host_id& from, const place_declined& it);
     void on_message(const host_id& from, const place_check& it);
     void on_message(const host_id& from, const place_check_result& it);
 
--- a/src/plugins/entry/dispatch_task_checks.cpp
+++ b/src/plugins/entry/dispatch_task_checks.cpp
@@ -112,4 +112,15 @@
     }
 }
 
-} // namespace quincewing
+void dispatch_task::on_message(const host_id& from, const place_declined& it)
+{
+    const auto found = requests_.find(it.number);
+    if (found == requests_.end() || found->second.granted ||
+        found->second.dispatcher_host != from) {
+        return;
+    }
+    skip_dispatchers_of(from, monotonic_now());
+    send_to_dispatcher(it.number);
+}
+
+} // namespace quincewing
--- a/tests/auto/entry/slot_messages_test.cpp
+++ b/tests/auto/entry/slot_messages_test.cpp
@@ -280,3 +280,44 @@
     hosts.run(millis{100});
     CHECK(second->server);
 }
+
+// Guards against requests that wait at a host until it has stopped.
+TEST_CASE("slot messages: requests that wait at a host that stops are asked for elsewhere")
+{
+    two_hosts hosts;
+    const auto first = hosts.request(hosts.owner);
+    const auto second = hosts.request(hosts.requester);
+    hosts.run(millis{100});
+    CHECK(!second->server);
+    hosts.owner.dispatch.on_host_leaving(hosts.owner.id);
+    hosts.owner.peers.send(hosts.requester.id, host_leaving{});
+    hosts.run(millis{100});
+    CHECK(second->server);
+}
+
+TEST_CASE("slot messages: a host that stops takes no new request into its queue")
+{
+    two_hosts hosts;
+    const auto first = hosts.request(hosts.owner);
+    hosts.owner.dispatch.on_host_leaving(hosts.owner.id);
+    const auto second = hosts.request(hosts.requester);
+    hosts.run(millis{100});
+    CHECK(second->server);
+}
+
+// Guards against refusals by a host that has just started and was not told of the servers yet.
+TEST_CASE("slot messages: a host that knows no servers yet refuses no request of others")
+{
+    two_hosts hosts;
+    slot_host started{hosts.loop, 3};
+    hosts.owner.dispatch.on_host_leaving(hosts.owner.id);
+    hosts.requester.dispatch.on_host_leaving(hosts.owner.id);
+    hosts.requester.dispatch.on_host_leaving(hosts.requester.id);
+    hosts.requester.peers.connect_to({started.address});
+    started.peers.connect_to({hosts.requester.address});
+    hosts.run(millis{100});
+    const auto it = hosts.request(hosts.requester);
+    hosts.run(millis{100});
+    CHECK(!it->refused);
+    CHECK(it->server);
+}
