Dispatcher: waiting requests are not refused while a lost server is being probed

Evidence: the new test; before the change two of five waiting requests with 0.75 s left were refused at the end of the backoff.

Why it works: a waiting request is refused by a lower bound of its wait, in which a probed server has all its slots.

--- a/include/quincewing/dispatch/dispatcher.hpp
+++ b/include/quincewing/dispatch/dispatcher.hpp
@@ -129,11 +129,14 @@
 
     [[nodiscard]] std::uint32_t free_slots(instant now, const server_state& state) const;
     [[nodiscard]] std::uint32_t slot_limit(instant now, const server_state& state) const;
+    /// Slots of a server that answers.
+    [[nodiscard]] std::uint32_t usable_slots(instant now, const server_state& state) const;
     server_state* choose_server(instant now, const waiting_request& waiting);
     [[nodiscard]] double cost(const server_state& state, const waiting_request& waiting) const;
     [[nodiscard]] duration expected_wait(instant now, const waiting_request& waiting) const;
-    [[nodiscard]] duration expected_wait(instant now, const waiting_request& waiting,
-                                         std::size_t ahead) const;
+    /// Lower bound of the wait with this many requests ahead.
+    [[nodiscard]] duration least_wait(instant now, const waiting_request& waiting,
+                                      std::size_t ahead) const;
     [[nodiscard]] duration retry_after(duration wait) const;
     [[nodiscard]] duration expected_processing_time(const waiting_request& waiting) const;
     [[nodiscard]] bool is_eligible(const server_state& state, const waiting_request& waiting) const;
--- a/src/libs/dispatch/dispatcher.cpp
+++ b/src/libs/dispatch/dispatcher.cpp
@@ -165,6 +165,11 @@
     if (state.estimate.probing()) {
         return 1;
     }
+    return usable_slots(now, state);
+}
+
+std::uint32_t dispatcher::usable_slots(instant now, const server_state& state) const
+{
     const auto slots = std::max(1.0, std::round(state.server.slots * options_.slots_share));
     const auto total = static_cast<std::uint32_t>(slots) + options_.extra_grants;
     const auto others = state.estimate.slots_used_by_others(now);
@@ -233,27 +238,41 @@
     return n == 0 ? options_.estimate.initial_processing_time : sum / n;
 }
 
+// The time until the eligible servers complete as many requests as are ahead in the queue, and
+// one more for this one.
 duration dispatcher::expected_wait(instant now, const waiting_request& waiting) const
 {
+    double completions_per_us = 0;
+    for (const auto& [id, state] : servers_) {
+        if (is_eligible(state, waiting)) {
+            completions_per_us += slot_limit(now, state) /
+                                  static_cast<double>(state.estimate.processing_time().count() + 1);
+        }
+    }
+    if (completions_per_us <= 0) {
+        return options_.estimate.min_backoff;
+    }
     const auto own_rank = rank(now, waiting);
     const auto ahead = std::count_if(queue_.begin(), queue_.end(), [&](const auto& other) {
         return other.ticket != waiting.ticket && rank(now, other) <= own_rank;
     });
-    return expected_wait(now, waiting, static_cast<std::size_t>(ahead));
+    return duration{std::llround(static_cast<double>(ahead + 1) / completions_per_us)};
 }
 
-// The time until the eligible servers complete as many requests as are ahead in the queue, and
-// one more for this one.
-duration dispatcher::expected_wait(instant now, const waiting_request& waiting,
-                                   std::size_t ahead) const
+// As expected_wait, if servers that are being probed answer: then all their slots are used again.
+duration dispatcher::least_wait(instant now, const waiting_request& waiting,
+                                std::size_t ahead) const
 {
     double completions_per_us = 0;
     auto backoff_left = options_.estimate.max_backoff;
     for (const auto& [id, state] : servers_) {
-        if (is_eligible(state, waiting)) {
-            completions_per_us += slot_limit(now, state) /
+        if (!is_eligible(state, waiting)) {
+            continue;
+        }
+        backoff_left = std::min(backoff_left, state.estimate.backoff_until() - now);
+        if (!state.estimate.backing_off(now)) {
+            completions_per_us += usable_slots(now, state) /
                                   static_cast<double>(state.estimate.processing_time().count() + 1);
-            backoff_left = std::min(backoff_left, state.estimate.backoff_until() - now);
         }
     }
     if (completions_per_us <= 0) {
@@ -342,7 +361,7 @@
             reject(it, options_.estimate.min_backoff, "no_server");
             continue;
         }
-        const auto wait = expected_wait(now, it, kept.size());
+        const auto wait = least_wait(now, it, kept.size());
         if (!it.without_server_since && now + wait + expected_processing_time(it) > it.deadline) {
             reject(it, retry_after(wait), "too_busy");
             continue;
--- a/tests/auto/dispatch/waiting_requests_test.cpp
+++ b/tests/auto/dispatch/waiting_requests_test.cpp
@@ -138,3 +138,27 @@
     CHECK(decisions.rejections[0].ticket == ticket_of(2));
     CHECK(target.queue_length() == 1);
 }
+
+// A lost server gets one request at a time until it answers; its other slots come back then.
+TEST_CASE("dispatcher: waiting requests are not refused while a lost server is being probed")
+{
+    const instant now{seconds{10}};
+    dispatcher target;
+    target.set_servers({server_of("s1", 4)});
+    for (std::uint64_t number = 1; number <= 10; ++number) {
+        target.submit(now, ticket_of(number), request_of(millis{1200}, millis{1200}));
+    }
+    target.take_decisions();
+    target.finish(now, ticket_of(1), {.outcome = attempt_outcome::connection_lost});
+    for (const std::uint64_t number : {2, 3, 4}) {
+        target.finish(now, ticket_of(number), {.outcome = attempt_outcome::unused});
+    }
+    const auto queued = target.queue_length();
+    REQUIRE(queued >= 5);
+    const auto backoff_end = now + millis{450};
+    target.tick(backoff_end);
+    const auto decisions = target.take_decisions();
+    CHECK(decisions.grants.size() == 1);
+    CHECK(decisions.rejections.empty());
+    CHECK(target.queue_length() == queued - 1);
+}
