--- a/include/quincewing/dispatch/dispatcher.hpp
+++ b/include/quincewing/dispatch/dispatcher.hpp
@@ -37,6 +37,9 @@
     double tight_deadline_share{0.5};
     /// A grant whose end is never reported is reclaimed this long after the request's deadline.
     duration reclaim_after{seconds{1}};
+    /// A waiting request for one server that is gone is rejected after this time. Before, its
+    /// requester learns of the key's next owner and asks for a slot there.
+    duration follow_owner_time{seconds{1}};
     /// Bounds of the retry-after time given to a rejected request.
     duration min_retry_after{millis{50}};
     duration max_retry_after{seconds{2}};
@@ -73,6 +76,8 @@
 
     /// Replaces the list of servers that may get requests.
     void set_servers(const std::vector<backend_server>& servers);
+    /// A request that is submitted again replaces the one that waits; if it has a slot, the grant
+    /// is decided again.
     void submit(instant now, const dispatch_ticket& ticket, dispatch_request request);
     /// Withdraws a request, whether it waits or has a slot.
     void cancel(instant now, const dispatch_ticket& ticket);
@@ -80,6 +85,8 @@
     void finish(instant now, const dispatch_ticket& ticket, const attempt_report& report);
     /// Drops all requests of an entry host that was lost, and frees their slots.
     void remove_host(instant now, const host_id& host);
+    /// Drops the requests of an entry host but those with these numbers, and frees their slots.
+    void keep_only(instant now, const host_id& host, const std::set<std::uint64_t>& numbers);
     /// Rejects requests that can no longer be served in time and reclaims slots whose end was
     /// never reported.
     void tick(instant now);
@@ -88,6 +95,8 @@
     dispatch_decisions take_decisions() { return std::exchange(decisions_, {}); }
 
     [[nodiscard]] bool is_queued(const dispatch_ticket& ticket) const;
+    /// The server at which the request has a slot.
+    [[nodiscard]] std::optional<server_id> granted_server(const dispatch_ticket& ticket) const;
     [[nodiscard]] std::size_t queue_length() const { return queue_.size(); }
     [[nodiscard]] std::size_t granted_count() const { return granted_.size(); }
     [[nodiscard]] bool idle() const { return queue_.empty() && granted_.empty(); }
@@ -109,6 +118,8 @@
         instant deadline;
         /// The request may wait only while its answer is expected before this.
         instant answer_due;
+        /// Since when no server could run it; empty while one can.
+        std::optional<instant> without_server_since;
     };
     struct granted_request
     {
@@ -118,9 +129,15 @@
 
     [[nodiscard]] std::uint32_t free_slots(instant now, const server_state& state) const;
     [[nodiscard]] std::uint32_t slot_limit(instant now, const server_state& state) const;
+    /// Slots of a server that answers.
+    [[nodiscard]] std::uint32_t usable_slots(instant now, const server_state& state) const;
     server_state* choose_server(instant now, const waiting_request& waiting);
     [[nodiscard]] double cost(const server_state& state, const waiting_request& waiting) const;
     [[nodiscard]] duration expected_wait(instant now, const waiting_request& waiting) const;
+    /// Lower bound of the wait with this many requests ahead.
+    [[nodiscard]] duration least_wait(instant now, const waiting_request& waiting,
+                                      std::size_t ahead) const;
+    [[nodiscard]] duration retry_after(duration wait) const;
     [[nodiscard]] duration expected_processing_time(const waiting_request& waiting) const;
     [[nodiscard]] bool is_eligible(const server_state& state, const waiting_request& waiting) const;
     /// Order in the queue: the lowest rank goes first.
@@ -130,6 +147,10 @@
     void grant(instant now, const waiting_request& waiting, server_state& state);
     void reject(const waiting_request& waiting, duration retry_after, const char* reason);
     void process_queue(instant now);
+    /// Rejects waiting requests that are not expected to be served by their deadline.
+    void reject_hopeless(instant now);
+    [[nodiscard]] bool lost_its_servers(instant now, waiting_request& waiting) const;
+    void remove_from_queue(const dispatch_ticket& ticket);
     void release_slot(const server_id& server);
 
     dispatcher_options options_;
--- a/src/libs/dispatch/dispatcher.cpp
+++ b/src/libs/dispatch/dispatcher.cpp
@@ -27,11 +27,18 @@
 
 void dispatcher::submit(instant now, const dispatch_ticket& ticket, dispatch_request request)
 {
+    if (const auto found = granted_.find(ticket); found != granted_.end()) {
+        // The requester asks again because the grant did not reach it.
+        decisions_.grants.push_back({.ticket = ticket, .server = found->second.server});
+        return;
+    }
+    remove_from_queue(ticket);
     waiting_request waiting{.ticket = ticket,
                             .request = std::move(request),
                             .objective = {},
                             .deadline = {},
-                            .answer_due = {}};
+                            .answer_due = {},
+                            .without_server_since = {}};
     waiting.objective = now + duration{waiting.request.objective_left};
     waiting.deadline = now + duration{waiting.request.time_left};
     waiting.answer_due = answer_due(now, waiting);
@@ -53,17 +60,15 @@
     // A request whose answer would be late anyway must not take a slot from one in time.
     const auto wait = expected_wait(now, *found);
     if (now + wait + expected_processing_time(*found) > found->answer_due) {
-        const auto retry_after =
-            std::clamp<duration>(wait, options_.min_retry_after, options_.max_retry_after);
         const auto rejected = *found;
         queue_.erase(found);
-        reject(rejected, retry_after, "too_busy");
+        reject(rejected, retry_after(wait), "too_busy");
     }
 }
 
 void dispatcher::cancel(instant now, const dispatch_ticket& ticket)
 {
-    std::erase_if(queue_, [&](const auto& queued) { return queued.ticket == ticket; });
+    remove_from_queue(ticket);
     finish(now, ticket, {.outcome = attempt_outcome::unused});
 }
 
@@ -84,16 +89,28 @@
 
 void dispatcher::remove_host(instant now, const host_id& host)
 {
-    std::erase_if(queue_, [&](const auto& queued) { return queued.ticket.host == host; });
+    keep_only(now, host, {});
+}
+
+void dispatcher::keep_only(instant now, const host_id& host, const std::set<std::uint64_t>& numbers)
+{
+    const auto dropped = [&](const dispatch_ticket& ticket) {
+        return ticket.host == host && !numbers.contains(ticket.number);
+    };
+    std::erase_if(queue_, [&](const auto& queued) { return dropped(queued.ticket); });
+    bool freed = false;
     for (auto it = granted_.begin(); it != granted_.end();) {
-        if (it->first.host == host) {
+        if (dropped(it->first)) {
             release_slot(it->second.server);
             it = granted_.erase(it);
+            freed = true;
         } else {
             ++it;
         }
     }
-    process_queue(now);
+    if (freed) {
+        process_queue(now);
+    }
 }
 
 void dispatcher::tick(instant now)
@@ -107,6 +124,12 @@
         }
     }
     process_queue(now);
+    reject_hopeless(now);
+}
+
+void dispatcher::remove_from_queue(const dispatch_ticket& ticket)
+{
+    std::erase_if(queue_, [&](const auto& queued) { return queued.ticket == ticket; });
 }
 
 bool dispatcher::is_queued(const dispatch_ticket& ticket) const
@@ -115,6 +138,12 @@
                        [&](const auto& queued) { return queued.ticket == ticket; });
 }
 
+std::optional<server_id> dispatcher::granted_server(const dispatch_ticket& ticket) const
+{
+    const auto found = granted_.find(ticket);
+    return found == granted_.end() ? std::nullopt : std::optional{found->second.server};
+}
+
 void dispatcher::release_slot(const server_id& server)
 {
     const auto found = servers_.find(server);
@@ -136,6 +165,11 @@
     if (state.estimate.probing()) {
         return 1;
     }
+    return usable_slots(now, state);
+}
+
+std::uint32_t dispatcher::usable_slots(instant now, const server_state& state) const
+{
     const auto slots = std::max(1.0, std::round(state.server.slots * options_.slots_share));
     const auto total = static_cast<std::uint32_t>(slots) + options_.extra_grants;
     const auto others = state.estimate.slots_used_by_others(now);
@@ -225,6 +259,33 @@
     return duration{std::llround(static_cast<double>(ahead + 1) / completions_per_us)};
 }
 
+// As expected_wait, if servers that are being probed answer: then all their slots are used again.
+duration dispatcher::least_wait(instant now, const waiting_request& waiting,
+                                std::size_t ahead) const
+{
+    double completions_per_us = 0;
+    auto backoff_left = options_.estimate.max_backoff;
+    for (const auto& [id, state] : servers_) {
+        if (!is_eligible(state, waiting)) {
+            continue;
+        }
+        backoff_left = std::min(backoff_left, state.estimate.backoff_until() - now);
+        if (!state.estimate.backing_off(now)) {
+            completions_per_us += usable_slots(now, state) /
+                                  static_cast<double>(state.estimate.processing_time().count() + 1);
+        }
+    }
+    if (completions_per_us <= 0) {
+        return std::max(backoff_left, duration{0});
+    }
+    return duration{std::llround(static_cast<double>(ahead + 1) / completions_per_us)};
+}
+
+duration dispatcher::retry_after(duration wait) const
+{
+    return std::clamp(wait, options_.min_retry_after, options_.max_retry_after);
+}
+
 // First the traffic class that is furthest behind its share; within a class first the requests
 // that can still be in time; of these the one that is due first.
 std::tuple<double, bool, instant> dispatcher::rank(instant now,
@@ -289,4 +350,43 @@
     }
 }
 
+// The queue is in order. Servers may have slowed down or been lost since a request was submitted,
+// and others may have been put before it.
+void dispatcher::reject_hopeless(instant now)
+{
+    std::vector<waiting_request> kept;
+    kept.reserve(queue_.size());
+    for (auto& it : queue_) {
+        if (lost_its_servers(now, it)) {
+            reject(it, options_.estimate.min_backoff, "no_server");
+            continue;
+        }
+        const auto wait = least_wait(now, it, kept.size());
+        if (!it.without_server_since && now + wait + expected_processing_time(it) > it.deadline) {
+            reject(it, retry_after(wait), "too_busy");
+            continue;
+        }
+        kept.push_back(std::move(it));
+    }
+    queue_ = std::move(kept);
+}
+
+bool dispatcher::lost_its_servers(instant now, waiting_request& waiting) const
+{
+    const bool any_server = std::any_of(servers_.begin(), servers_.end(), [&](const auto& entry) {
+        return is_eligible(entry.second, waiting);
+    });
+    if (any_server) {
+        waiting.without_server_since.reset();
+        return false;
+    }
+    if (waiting.request.required_server.value.empty()) {
+        return true;
+    }
+    if (!waiting.without_server_since) {
+        waiting.without_server_since = now;
+    }
+    return now - *waiting.without_server_since > options_.follow_owner_time;
+}
+
 } // namespace quincewing
--- a/src/plugins/entry/dispatch_task.hpp
+++ b/src/plugins/entry/dispatch_task.hpp
@@ -36,7 +36,9 @@
 
     void on_servers(instant now);
     void on_host_lost(const host_id& host);
-    void on_host_leaving(const host_id& host) { leaving_.insert(host); }
+    /// The host's dispatchers take no more requests; requests that wait there are asked for
+    /// elsewhere.
+    void on_host_leaving(const host_id& host);
     void tick(instant now);
 
     void on_message(const host_id& from, const place_request& it);
@@ -44,6 +46,9 @@
     void on_message(const host_id& from, const place_given& it);
     void on_message(const host_id& from, const place_refused& it);
     void on_message(const host_id& from, const place_done& it);
+    void on_message(const host_id& from, const place_declined& it);
+    void on_message(const host_id& from, const place_check& it);
+    void on_message(const host_id& from, const place_check_result& it);
 
     /// Number of this host's requests that have no slot yet.
     [[nodiscard]] std::size_t waiting() const;
@@ -61,9 +66,13 @@
     struct pending_request
     {
         dispatch_request request;
+        instant objective;
+        instant deadline;
         slot_hooks hooks;
         host_id dispatcher_host;
         instant asked_at;
+        /// When the dispatcher last confirmed that it has queued the request.
+        instant confirmed_at;
         /// The dispatcher confirmed that it has queued the request.
         bool acknowledged{};
         bool granted{};
@@ -77,7 +86,23 @@
         return {it.service, it.required_server};
     }
     dispatcher& get_dispatcher(const group_id& id, bool fallback);
+    [[nodiscard]] static dispatch_request with_time_left(const pending_request& it, instant now);
+    /// Whether it waits for a slot from another host's dispatcher.
+    [[nodiscard]] bool waits_elsewhere(const pending_request& it) const;
+    [[nodiscard]] std::vector<std::uint64_t> waiting_at(const host_id& host) const;
     void send_to_dispatcher(std::uint64_t number);
+    /// Asks again for slots for all requests that wait at this host.
+    void ask_elsewhere(const host_id& host);
+    /// Withdraws the request from the dispatcher that was asked last.
+    void withdraw(std::uint64_t number);
+    void return_place(std::uint64_t number, const pending_request& it,
+                      const attempt_report& report);
+    void skip_dispatchers_of(const host_id& host, instant now);
+    void check_dispatchers(instant now);
+    void send_check(const host_id& host, instant now);
+    void on_silent(const host_id& host, instant now);
+    /// Whether the dispatcher has the request. If it has a slot, the grant is sent again.
+    bool confirm(const dispatcher& target, const dispatch_ticket& ticket);
     void submit_to_fallback(std::uint64_t number);
     void submit(const group_id& id, bool fallback, const dispatch_ticket& ticket,
                 dispatch_request request);
@@ -94,6 +119,10 @@
     std::set<host_id> leaving_;
     /// Hosts whose dispatcher did not answer, and until when they are not asked again.
     std::map<host_id, instant> unresponsive_until_;
+    /// Hosts whose answer to a place_check is due, and when it was sent.
+    std::map<host_id, instant> checks_sent_;
+    /// Hosts that may hold slots for requests that are over, and since when.
+    std::map<host_id, instant> to_check_;
     std::uint64_t next_number_{1};
 };
 
--- /dev/null
+++ b/tests/auto/dispatch/waiting_requests_test.cpp
@@ -0,0 +1,164 @@
+#include "quincewing/dispatch/dispatcher.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace quincewing;
+
+namespace {
+
+const service_id desk{"desk"};
+const host_id first_host{"h1"};
+
+backend_server server_of(const std::string& id, std::uint32_t slots)
+{
+    return {.id = server_id{id},
+            .start = server_start{1},
+            .service = desk,
+            .data_centre = data_centre_id{"dc"},
+            .slots = slots};
+}
+
+dispatch_request request_of(duration objective, duration time_left)
+{
+    return {.service = desk,
+            .data_centre = data_centre_id{"dc"},
+            .objective_left = objective.count(),
+            .time_left = time_left.count()};
+}
+
+dispatch_ticket ticket_of(std::uint64_t number)
+{
+    return {.host = first_host, .number = number};
+}
+
+attempt_report answered_after(duration took)
+{
+    return {.outcome = attempt_outcome::answered, .took = static_cast<std::uint64_t>(took.count())};
+}
+
+} // namespace
+
+// Guards against a slot that is never freed: a second grant replaced the first one's record.
+TEST_CASE("dispatcher: a request that is submitted again takes no second slot")
+{
+    const instant now{seconds{10}};
+    dispatcher target;
+    target.set_servers({server_of("s1", 1)});
+    target.submit(now, ticket_of(1), request_of(seconds{2}, seconds{4}));
+    target.submit(now, ticket_of(2), request_of(seconds{2}, seconds{4}));
+    CHECK(target.take_decisions().grants.size() == 1);
+    target.submit(now, ticket_of(1), request_of(seconds{2}, seconds{4}));
+    target.submit(now, ticket_of(2), request_of(seconds{2}, seconds{4}));
+    const auto repeated = target.take_decisions();
+    REQUIRE(repeated.grants.size() == 1);
+    CHECK(repeated.grants[0].ticket == ticket_of(1));
+    CHECK(target.queue_length() == 1);
+    target.finish(now, ticket_of(1), answered_after(millis{100}));
+    CHECK(target.take_decisions().grants.size() == 1);
+    target.finish(now, ticket_of(2), answered_after(millis{100}));
+    CHECK(target.idle());
+    target.submit(now, ticket_of(3), request_of(seconds{2}, seconds{4}));
+    CHECK(target.take_decisions().grants.size() == 1);
+}
+
+// Guards against requests that are held until their deadline although nobody can run them any more.
+TEST_CASE("dispatcher: a waiting request is refused at once when its service has no server left")
+{
+    const instant now{seconds{10}};
+    dispatcher target;
+    target.set_servers({server_of("s1", 1)});
+    target.submit(now, ticket_of(1), request_of(seconds{2}, seconds{4}));
+    target.submit(now, ticket_of(2), request_of(seconds{2}, seconds{4}));
+    CHECK(target.take_decisions().grants.size() == 1);
+    target.set_servers({});
+    target.tick(now + millis{50});
+    const auto decisions = target.take_decisions();
+    REQUIRE(decisions.rejections.size() == 1);
+    CHECK(decisions.rejections[0].ticket == ticket_of(2));
+    CHECK(decisions.rejections[0].retry_after > duration{0});
+    CHECK(target.granted_count() == 1);
+}
+
+// The requester learns of the key's new owner by itself and asks there. The refusal is for one that
+// does not learn of it.
+TEST_CASE("dispatcher: a request for a lost owner of its key has a second to follow the key")
+{
+    const instant now{seconds{10}};
+    dispatcher target;
+    target.set_servers({server_of("s1", 1)});
+    for (const std::uint64_t number : {1, 2}) {
+        auto request = request_of(seconds{4}, seconds{6});
+        request.required_server = server_id{"s1"};
+        target.submit(now, ticket_of(number), request);
+    }
+    target.set_servers({});
+    for (auto time = duration{0}; time <= millis{900}; time += millis{50}) {
+        target.tick(now + time);
+    }
+    CHECK(target.take_decisions().rejections.empty());
+    target.tick(now + millis{1100});
+    CHECK(target.take_decisions().rejections.size() == 1);
+    CHECK(target.queue_length() == 0);
+}
+
+TEST_CASE("dispatcher: a waiting request is refused once its answer is expected after its deadline")
+{
+    const instant now{seconds{10}};
+    dispatcher target;
+    target.set_servers({server_of("s1", 1)});
+    target.submit(now, ticket_of(1), request_of(seconds{4}, seconds{4}));
+    target.submit(now, ticket_of(2), request_of(millis{2900}, millis{2900}));
+    target.submit(now, ticket_of(3), request_of(millis{2900}, millis{2900}));
+    target.submit(now, ticket_of(4), request_of(seconds{4}, seconds{4}));
+    target.take_decisions();
+    // The server turns out to need a second for each: 2 begins now and 3 would end too late.
+    target.finish(now + seconds{1}, ticket_of(1), answered_after(seconds{1}));
+    target.tick(now + seconds{1});
+    const auto decisions = target.take_decisions();
+    CHECK(decisions.grants.size() == 1);
+    REQUIRE(decisions.rejections.size() == 1);
+    CHECK(decisions.rejections[0].ticket == ticket_of(3));
+    CHECK(decisions.rejections[0].retry_after >= seconds{1});
+    CHECK(target.queue_length() == 1);
+}
+
+TEST_CASE("dispatcher: a waiting request is refused when all servers are lost beyond its deadline")
+{
+    const instant now{seconds{10}};
+    dispatcher target;
+    target.set_servers({server_of("s1", 1)});
+    target.submit(now, ticket_of(1), request_of(millis{500}, millis{500}));
+    target.submit(now, ticket_of(2), request_of(millis{500}, millis{500}));
+    target.submit(now, ticket_of(3), request_of(seconds{4}, seconds{4}));
+    target.take_decisions();
+    target.finish(now, ticket_of(1), {.outcome = attempt_outcome::connection_lost});
+    target.tick(now);
+    const auto decisions = target.take_decisions();
+    REQUIRE(decisions.rejections.size() == 1);
+    CHECK(decisions.rejections[0].ticket == ticket_of(2));
+    CHECK(target.queue_length() == 1);
+}
+
+// A lost server gets one request at a time until it answers; its other slots come back then.
+TEST_CASE("dispatcher: waiting requests are not refused while a lost server is being probed")
+{
+    const instant now{seconds{10}};
+    dispatcher target;
+    target.set_servers({server_of("s1", 4)});
+    for (std::uint64_t number = 1; number <= 10; ++number) {
+        target.submit(now, ticket_of(number), request_of(millis{1200}, millis{1200}));
+    }
+    target.take_decisions();
+    target.finish(now, ticket_of(1), {.outcome = attempt_outcome::connection_lost});
+    for (const std::uint64_t number : {2, 3, 4}) {
+        target.finish(now, ticket_of(number), {.outcome = attempt_outcome::unused});
+    }
+    const auto queued = target.queue_length();
+    REQUIRE(queued >= 5);
+    const auto backoff_end = now + millis{450};
+    target.tick(backoff_end);
+    const auto decisions = target.take_decisions();
+    CHECK(decisions.grants.size() == 1);
+    CHECK(decisions.rejections.empty());
+    CHECK(target.queue_length() == queued - 1);
+}
