--- a/include/quincewing/deployment/stop_schedule.hpp
+++ b/include/quincewing/deployment/entry_stop_schedule.hpp
@@ -5,7 +5,7 @@
 namespace quincewing {
 
 /// What a stopping entry host does when. Times count from the stop signal.
-struct stop_schedule
+struct entry_stop_schedule
 {
     /// From here on it closes the connections of callers that are idle.
     duration close_idle{};
@@ -16,6 +16,6 @@
 };
 
 /// grace: time from the stop signal until the process is killed.
-stop_schedule make_stop_schedule(duration grace);
+entry_stop_schedule make_entry_stop_schedule(duration grace);
 
 } // namespace quincewing
--- a/src/libs/deployment/stop_schedule.cpp
+++ b/src/libs/deployment/entry_stop_schedule.cpp
@@ -1,4 +1,4 @@
-#include "quincewing/deployment/stop_schedule.hpp"
+#include "quincewing/deployment/entry_stop_schedule.hpp"
 
 #include <algorithm>
 
@@ -19,7 +19,7 @@
 
 // Half of the grace period at least is left for requests that are at a server when no more are
 // started.
-stop_schedule make_stop_schedule(duration grace)
+entry_stop_schedule make_entry_stop_schedule(duration grace)
 {
     const auto start_none =
         std::min<duration>(balancer_detection_time + late_arrival_time, grace / 2);
--- a/src/plugins/entry/entry_host.cpp
+++ b/src/plugins/entry/entry_host.cpp
@@ -9,7 +9,7 @@
 #include "store_follower.hpp"
 
 #include "quincewing/base/hash.hpp"
-#include "quincewing/deployment/stop_schedule.hpp"
+#include "quincewing/deployment/entry_stop_schedule.hpp"
 #include "quincewing/logging/event_log.hpp"
 #include "quincewing/peers/peers_task.hpp"
 
@@ -65,7 +65,7 @@
     timer tick_timer;
     instant next_log_tick{};
     instant stop_started_at{};
-    stop_schedule stop_steps;
+    entry_stop_schedule stop_steps;
     bool stopping{};
     bool record_removed{};
     std::function<void()> on_stopped;
@@ -253,7 +253,7 @@
     const auto now = monotonic_now();
     it.stopping = true;
     it.stop_started_at = now;
-    it.stop_steps = make_stop_schedule(it.settings.bounds.grace);
+    it.stop_steps = make_entry_stop_schedule(it.settings.bounds.grace);
     it.on_stopped = std::move(done);
     log_event("stopping", {{"host", it.self.value}});
     it.listener.set_stopping();
--- a/tests/auto/deployment/stop_schedule_test.cpp
+++ b/tests/auto/deployment/entry_stop_schedule_test.cpp
@@ -1,29 +1,29 @@
-#include "quincewing/deployment/stop_schedule.hpp"
+#include "quincewing/deployment/entry_stop_schedule.hpp"
 
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
 
 using namespace quincewing;
 
-TEST_CASE("stop schedule: the load balancer notices before requests are refused")
+TEST_CASE("entry stop schedule: the load balancer notices before requests are refused")
 {
-    const auto it = make_stop_schedule(seconds{10});
+    const auto it = make_entry_stop_schedule(seconds{10});
     CHECK(it.close_idle > seconds{2});
     CHECK(it.start_none > it.close_idle);
 }
 
 // The platform counts what is sent later than 3 s after the signal against the host.
-TEST_CASE("stop schedule: no request is started later than 3 s after the signal")
+TEST_CASE("entry stop schedule: no request is started later than 3 s after the signal")
 {
-    CHECK(make_stop_schedule(seconds{6}).start_none < seconds{3});
-    CHECK(make_stop_schedule(seconds{30}).start_none < seconds{3});
+    CHECK(make_entry_stop_schedule(seconds{6}).start_none < seconds{3});
+    CHECK(make_entry_stop_schedule(seconds{30}).start_none < seconds{3});
 }
 
-TEST_CASE("stop schedule: whatever the grace period, the steps come in order and within it")
+TEST_CASE("entry stop schedule: whatever the grace period, the steps come in order and within it")
 {
     const bool good = rc::check([] {
         const duration grace = millis{*rc::gen::inRange(0, 60'000)};
-        const auto it = make_stop_schedule(grace);
+        const auto it = make_entry_stop_schedule(grace);
         RC_ASSERT(duration{0} <= it.close_idle);
         RC_ASSERT(it.close_idle <= it.start_none);
         RC_ASSERT(it.start_none <= grace / 2);
