Free the server's slot when a caller leaves during an answer

What callers saw: after callers had reset their connections during large answers, others were refused with 503 "deadline" at the same server, for good once all its slots were taken.

Cause: the library keeps a broken connection and its request for as long as the request is paused, and a request is paused until its answer ends. The answer waited for the caller's window, so neither ended.

Evidence: with 4 slots, the requests after the third or fourth reset got 503 (not_run: deadline).

Why this works: the request's error hook resumes the request, the library then frees it, and its fini hook tells the host that the caller is gone. That empties the hooks of the exchange, so the link to another host asks for them before it calls them (found by reading; not seen alone).

Test, before the change: stop_test.cpp:159 CHECK( 503 == 200 ), :153 REQUIRE( caller.skip(8'000) ) false. After it: passes.

--- a/src/plugins/callers/caller_request.cpp
+++ b/src/plugins/callers/caller_request.cpp
@@ -52,6 +52,7 @@
 {
     auto* self = new caller_request{host, request};
     evhtp_request_set_hook(request, evhtp_hook_on_request_fini, as_evhtp_hook(on_fini), self);
+    evhtp_request_set_hook(request, evhtp_hook_on_error, as_evhtp_hook(on_error), self);
 }
 
 void caller_request::take(evhtp_request_t* request)
@@ -198,6 +199,16 @@
     return EVHTP_RES_OK;
 }
 
+// The library keeps a broken connection, and its request, for as long as it is paused.
+void caller_request::on_error(evhtp_request_t* request, evhtp_error_flags /*error*/, void* arg)
+{
+    auto* self = static_cast<caller_request*>(arg);
+    if (!self->finished_) {
+        self->finished_ = true;
+        evhtp_request_resume(request);
+    }
+}
+
 evhtp_res caller_request::on_write(evhtp_connection_t* /*connection*/, void* arg)
 {
     auto* self = static_cast<caller_request*>(arg);
--- a/src/plugins/peers/peer_link.cpp
+++ b/src/plugins/peers/peer_link.cpp
@@ -195,7 +195,9 @@
                 connection->consume(id, n);
             }
         };
-        state->it->on_head(head_from_stream(from.headers));
+        if (state->it->on_head) {
+            state->it->on_head(head_from_stream(from.headers));
+        }
     };
     stream->on_data = [state](h2_stream&, const std::uint8_t* data, std::size_t n) -> std::size_t {
         auto* buf = evbuffer_new();
@@ -211,10 +213,10 @@
     stream->on_remote_end = [state](h2_stream&) { state->whole = true; };
     stream->on_close = [state](h2_stream&, std::uint32_t) {
         state->it->resume = nullptr;
-        if (state->head) {
-            state->it->on_end(state->whole);
-        } else {
+        if (!state->head) {
             state->failed({.handed_over = true});
+        } else if (state->it->on_end) {
+            state->it->on_end(state->whole);
         }
     };
 }
--- a/tests/failures/process_fleet.cpp
+++ b/tests/failures/process_fleet.cpp
@@ -230,7 +230,7 @@
     std::ofstream out{path};
     out << "[host]\naddress = " << at(host_ip(host), port(peers_at + host))
         << "\ncallers = " << callers(host) << "\noperators = " << operators(host)
-        << "\ndata_centre = dc" << data_centre << "\nstop_within = 10s\n";
+        << "\ndata_centre = dc" << data_centre << "\nstop_within = " << layout_.stop_within << "\n";
     if (layout_.relays) {
         out << "listen = " << at(host_ip(host), port(listen_at + host)) << "\n";
     }
--- a/tests/failures/process_fleet.hpp
+++ b/tests/failures/process_fleet.hpp
@@ -46,6 +46,7 @@
     bool server_relays{false};
     std::string isolation_hold{"600s"};
     std::string deadline{"2s"};
+    std::string stop_within{"10s"};
     double appends_per_second{300};
 };
 
--- /dev/null
+++ b/tests/failures/stop_test.cpp
@@ -0,0 +1,63 @@
+#include "process_fleet.hpp"
+#include "raw_caller.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <csignal>
+#include <doctest/doctest.h>
+#include <thread>
+
+using namespace quincewing;
+using namespace quincewing::testing;
+
+namespace {
+
+constexpr millis longest_wait{6000};
+
+void pause_for(millis it)
+{
+    std::this_thread::sleep_for(it);
+}
+
+/// One host that leads one server, which runs one request at a time.
+fleet_layout one_host(const std::string& stop_within)
+{
+    return {.hosts_each = 1, .servers_each = 1, .slots = 1, .stop_within = stop_within};
+}
+
+std::string work_of(const std::string& boat, millis it)
+{
+    return "/boats/" + boat + "/state?us=" + std::to_string(it.count() * 1000);
+}
+
+std::size_t runs_of(const process_fleet& fleet, const std::string& path)
+{
+    const auto lines = fleet.journal();
+    return std::count_if(lines.begin(), lines.end(), [&](const auto& line) {
+        return line.find("\"" + path + "\"") != std::string::npos;
+    });
+}
+
+} // namespace
+
+// The broken connection was kept, and the run with it.
+TEST_CASE("failure: callers that leave during an answer keep the server's slots")
+{
+    process_fleet fleet{{}};
+    REQUIRE(fleet.wait_served());
+    for (int i = 0; i < fleet.hosts(); ++i) {
+        for (int n = 0; n < 8; ++n) {
+            const auto boat = "boat" + std::to_string(n);
+            raw_caller caller{fleet.callers(i)};
+            REQUIRE(caller.get("/boats/" + boat + "/state?size=40000000"));
+            REQUIRE(caller.skip(8'000));
+            caller.reset();
+            raw_caller next{fleet.callers(i)};
+            REQUIRE(next.get("/boats/" + boat + "/state"));
+            const auto answers = next.read(1, longest_wait);
+            REQUIRE(answers.size() == 1);
+            CHECK(answers.front().status == 200);
+        }
+        CHECK_FALSE(fleet.host(i).ended());
+    }
+}
