Let the only host of a pair act until its stop ends

What callers saw: from SIGTERM on, the only host of a deployment refused or held every request, though /ready and the grace period promise that it serves until the balancer has noticed.

Cause: it began to hand over to its standby, which is itself. A leader that hands over does not act.

Evidence: the host's log: "change=stopping", 18 ms later "change=not_acting ... leader=H standby=H"; 34 requests of 1 ms in the 3 s after it had no answer.

Why this works: a pair of one member has nobody to hand over to and goes on to act.

Test, before the change: stop_test.cpp:244 REQUIRE( answers.size() == 1 ): 0 == 1. After it: passes.

--- a/include/quincewing/control/server_agent.hpp
+++ b/include/quincewing/control/server_agent.hpp
@@ -70,8 +70,9 @@
 
     /// Sends the changes since the last call to the standby. Call after each batch of events.
     void flush(instant now, effects& out);
-    /// Starts to hand the leadership over to the standby.
-    void hand_over() { pair_.start_handover(); }
+    /// Starts to hand the leadership over, if this host has it and there is a standby. Call for as
+    /// long as the host leaves: it may still get one or the other.
+    void hand_over();
     /// Whether this host may send requests and commands to the server now.
     [[nodiscard]] bool may_act(instant now) const { return pair_.may_act(now, fresh_as_of_); }
     [[nodiscard]] const pair_member& pair() const { return pair_; }
--- a/src/libs/control/server_agent_pair.cpp
+++ b/src/libs/control/server_agent_pair.cpp
@@ -143,6 +143,14 @@
     out.add_change("not_leading", server_.value, describe(pair_.view()));
 }
 
+// A single member that stops to act would leave nobody to act in its place.
+void server_agent::hand_over()
+{
+    if (pair_.is_leader() && !pair_.view().single_member()) {
+        pair_.start_handover();
+    }
+}
+
 void server_agent::on_heartbeat(instant now, const host_id& from, const pair_heartbeat& beat,
                                 effects& out)
 {
--- a/tests/failures/stop_test.cpp
+++ b/tests/failures/stop_test.cpp
@@ -61,3 +61,17 @@
         CHECK_FALSE(fleet.host(i).ended());
     }
 }
+
+// A pair of one member handed over to nobody.
+TEST_CASE("failure: the only host refuses all requests from the signal on")
+{
+    process_fleet fleet{one_host("6s")};
+    REQUIRE(fleet.wait_served());
+    fleet.host(0).signal(SIGTERM);
+    pause_for(millis{500});
+    raw_caller caller{fleet.callers(0)};
+    REQUIRE(caller.get("/boats/boat1/state"));
+    const auto answers = caller.read(1, millis{1500});
+    REQUIRE(answers.size() == 1);
+    CHECK(answers.front().status == 200);
+}
