Hand over a server that comes to a host while it stops

What callers saw: nothing at once. The host led the server to the end of its grace period and ended as its leader, so the server then had none until its standby took over.

Cause: a host handed over only what it led when it was told to stop. When several hosts stop at once, one hands its servers to another that stops too.

Evidence: with three of four hosts told to stop at once, the last ended 20.3 s later (stop_within 20s).

Why this works: the host hands over at each tick whatever it leads then.

--- a/include/quincewing/control/host_core.hpp
+++ b/include/quincewing/control/host_core.hpp
@@ -90,7 +90,7 @@
     /// Routes to all usable servers of a service, for requests without a shard.
     [[nodiscard]] std::vector<route> any_routes(const service_id& service) const;
 
-    /// Starts to hand over all servers that this host leads; it claims no others.
+    /// Hands over the servers that this host leads, from the next tick on; it claims no others.
     void leave(instant now, effects& out);
     /// This host leads no server and has no open request.
     [[nodiscard]] bool idle() const;
--- a/src/libs/control/host_core.cpp
+++ b/src/libs/control/host_core.cpp
@@ -469,6 +469,9 @@
         out.appends.emplace_back(options_.initial_record);
     }
     for (auto& [server, agent] : agents_) {
+        if (leaving_) {
+            agent.hand_over();
+        }
         agent.tick(now, surroundings(now, server, agent.pair().view()), state_, out);
     }
     claim_servers(now, out);
@@ -570,11 +573,6 @@
     leaving_ = true;
     next_heartbeat_ = now;
     send_heartbeats(now, out);
-    for (auto& [server, agent] : agents_) {
-        if (agent.pair().is_leader()) {
-            agent.hand_over();
-        }
-    }
 }
 
 bool host_core::idle() const
--- a/tests/failures/stop_test.cpp
+++ b/tests/failures/stop_test.cpp
@@ -62,6 +62,21 @@
     }
 }
 
+// It handed over only what it led when it was told to stop.
+TEST_CASE("failure: a host that takes a server over while it stops keeps it to the end of its time")
+{
+    process_fleet fleet{{.hosts_each = 4, .stop_within = "20s"}};
+    REQUIRE(fleet.wait_served());
+    const auto begun = std::chrono::steady_clock::now();
+    for (int i = 0; i < 3; ++i) {
+        fleet.host(i).signal(SIGTERM);
+    }
+    for (int i = 0; i < 3; ++i) {
+        CHECK(fleet.host(i).wait() == 0);
+    }
+    CHECK(std::chrono::steady_clock::now() - begun < seconds{15});
+}
+
 // A pair of one member handed over to nobody.
 TEST_CASE("failure: the only host refuses all requests from the signal on")
 {
