Go on acting when the log cannot record a hand-over

What callers saw: with the platform down, a SIGTERM to one host made all requests for its servers fail for the whole grace period.

Cause: a leader that hands over does not act, and a hand-over is a record of the log.

Evidence: 1 s after the signal 11 of 20 requests at another host were served.

Why this works: the host hands over only while it reads the log. Until then it acts; when it ends, its standby has the proof of its death and takes over without the log.

--- a/src/libs/control/host_core.cpp
+++ b/src/libs/control/host_core.cpp
@@ -469,7 +469,8 @@
         out.appends.emplace_back(options_.initial_record);
     }
     for (auto& [server, agent] : agents_) {
-        if (leaving_) {
+        // Without the log nobody could take over, and the server would be led by nobody.
+        if (leaving_ && log_reachable(now)) {
             agent.hand_over();
         }
         agent.tick(now, surroundings(now, server, agent.pair().view()), state_, out);
--- a/tests/failures/stop_test.cpp
+++ b/tests/failures/stop_test.cpp
@@ -90,3 +90,24 @@
     REQUIRE(answers.size() == 1);
     CHECK(answers.front().status == 200);
 }
+
+// A hand-over that the log cannot record leaves the server without a leader.
+TEST_CASE("failure: a host that is stopped in an outage of the log refuses all requests")
+{
+    process_fleet fleet{{}};
+    REQUIRE(fleet.wait_served());
+    fleet.control_platform("outage=1");
+    pause_for(millis{3500});
+    const int leader = fleet.leader_of(0);
+    REQUIRE(leader >= 0);
+    fleet.host(leader).signal(SIGTERM);
+    pause_for(millis{1000});
+    int served = 0;
+    for (int n = 0; n < 20; ++n) {
+        raw_caller caller{fleet.callers((leader + 1) % 3)};
+        REQUIRE(caller.get("/boats/boat" + std::to_string(n) + "/state"));
+        const auto answers = caller.read(1, millis{1000});
+        served += !answers.empty() && answers.front().status == 200 ? 1 : 0;
+    }
+    CHECK(served == 20);
+}
