Answer every request before a stop is over

What callers saw: connections that closed with no answer and no refusal at the end of a host's grace period, both of requests that waited and of requests that were at a server.

Cause: at the end of stop_within the host called its stop done with requests still open, and the process ended.

Evidence: with one server of one slot, 4 s of work and stop_within 3s, 5 of 6 requests had no answer.

Another host that forwarded a request gets the same answers and sends the refused ones elsewhere. All moments come from the grace period (stop_schedule).

--- a/include/quincewing/control/host_core.hpp
+++ b/include/quincewing/control/host_core.hpp
@@ -92,6 +92,10 @@
 
     /// Hands over the servers that this host leads, from the next tick on; it claims no others.
     void leave(instant now, effects& out);
+    /// Refuses the requests that wait here and were not sent to a server.
+    void refuse_waiting(instant now, refusal why, duration retry_after, effects& out);
+    /// A request that was begun and has not ended yet.
+    [[nodiscard]] bool has_request(request_id id) const;
     /// This host leads no server and has no open request.
     [[nodiscard]] bool idle() const;
 
--- a/include/quincewing/control/server_agent.hpp
+++ b/include/quincewing/control/server_agent.hpp
@@ -67,6 +67,9 @@
     /// still runs to its end.
     void cancel(instant now, request_id id, effects& out);
     void finished(instant now, request_id id, const request_result& result, effects& out);
+    /// Refuses every request that neither was sent to the server nor waits for one that was.
+    void refuse_undispatched(instant now, refusal why, duration retry_after, effects& out);
+    [[nodiscard]] bool has_request(request_id id) const { return requests_.contains(id); }
 
     /// Sends the changes since the last call to the standby. Call after each batch of events.
     void flush(instant now, effects& out);
--- a/include/quincewing/host/host_task.hpp
+++ b/include/quincewing/host/host_task.hpp
@@ -4,6 +4,7 @@
 #include "quincewing/control/host_core.hpp"
 #include "quincewing/exchange/exchange.hpp"
 #include "quincewing/host/request_log.hpp"
+#include "quincewing/host/stop_schedule.hpp"
 #include "quincewing/metrics/registry.hpp"
 #include "quincewing/net/event_loop.hpp"
 #include "quincewing/peers/peers_task.hpp"
@@ -38,12 +39,14 @@
     void caller_gone(const exchange_ptr& it);
     /// Appends an operator's record.
     void append(record_body body) { platform_.append(std::move(body)); }
-    /// Hands over and finishes what is in flight; done is called when nothing is left.
+    /// Hands over and finishes what is in flight; done is called when every request has its answer.
     void stop(std::function<void()> done);
 
     [[nodiscard]] const host_core& core() const { return core_; }
     [[nodiscard]] const host_settings& settings() const { return settings_; }
-    [[nodiscard]] bool stopping() const { return stopping_; }
+    [[nodiscard]] bool stopping() const { return stop_.has_value(); }
+    /// When the process of a stopping host has ended.
+    [[nodiscard]] instant ends_at() const { return stop_ ? stop_->ends_at : instant::max(); }
     /// Takes callers' requests: the state is known and the host does not stop.
     [[nodiscard]] bool ready() const;
     /// Requests can be decided on; also for a while after a stop was asked for.
@@ -64,6 +67,13 @@
     void carry_out(effects& wanted);
     backend_pool* pool_for(const server_id& server);
 
+    // The stop.
+    void advance_stop(instant now);
+    void refuse_waiting(instant now);
+    void refuse_stopping(const exchange_ptr& it);
+    void answer_all();
+    [[nodiscard]] bool may_have_run(const exchange& it) const;
+
     // Requests.
     void route(const exchange_ptr& it);
     bool choose_route(const exchange_ptr& it);
@@ -112,9 +122,9 @@
     timer reap_timer_;
     std::minstd_rand random_;
     std::uint64_t last_request_{};
-    bool stopping_{};
-    std::optional<instant> stop_by_;
-    std::optional<instant> notice_until_;
+    std::optional<stop_schedule> stop_;
+    /// The stop is so far on that no request is begun any more.
+    bool refusing_{};
     std::function<void()> stopped_;
 };
 
--- /dev/null
+++ b/include/quincewing/host/stop_schedule.hpp
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "quincewing/base/time.hpp"
+
+namespace quincewing {
+
+/// The moments of a graceful stop.
+struct stop_schedule
+{
+    /// Until then the balancer may still give callers this host.
+    instant noticed_at{};
+    /// Requests that are not at a server are refused from then on: other hosts can take them.
+    instant refuse_at{};
+    /// Requests that are at a server are given up and answered.
+    instant answer_all_at{};
+    /// The process has ended.
+    instant ends_at{};
+};
+
+/// The schedule of a stop that begins now and may take this long.
+stop_schedule make_stop_schedule(instant now, duration within, duration notice);
+
+} // namespace quincewing
--- a/src/app/serve.cpp
+++ b/src/app/serve.cpp
@@ -6,6 +6,7 @@
 #include "quincewing/host/host_task.hpp"
 #include "quincewing/operators/operators_task.hpp"
 
+#include <algorithm>
 #include <csignal>
 #include <event2/event.h>
 #include <glog/logging.h>
@@ -85,7 +86,8 @@
         LOG(INFO) << "change=stopping about=" << host_.core().options().self.value;
         host_.stop([this] {
             callers_.close();
-            last_answers_.once(time_for_last_answers);
+            const auto left = std::max(host_.ends_at() - monotonic_now(), duration{0});
+            last_answers_.once(std::min<duration>(time_for_last_answers, left));
         });
     }
 
--- a/src/libs/control/host_core.cpp
+++ b/src/libs/control/host_core.cpp
@@ -576,6 +576,23 @@
     send_heartbeats(now, out);
 }
 
+void host_core::refuse_waiting(instant now, refusal why, duration retry_after, effects& out)
+{
+    for (auto& [server, agent] : agents_) {
+        agent.refuse_undispatched(now, why, retry_after, out);
+    }
+}
+
+bool host_core::has_request(request_id id) const
+{
+    const auto found = request_servers_.find(id);
+    if (found == request_servers_.end()) {
+        return false;
+    }
+    const auto agent = agents_.find(found->second);
+    return agent != agents_.end() && agent->second.has_request(id);
+}
+
 bool host_core::idle() const
 {
     for (const auto& [server, agent] : agents_) {
--- a/src/libs/control/server_agent_pair.cpp
+++ b/src/libs/control/server_agent_pair.cpp
@@ -123,17 +123,10 @@
     ledger_incomplete_until_.reset();
     claimed_without_ledger_ = false;
     applied_number_ = 0;
-    std::vector<request_id> waiting;
     for (auto& [id, it] : requests_) {
-        if (it.stage == request_stage::in_flight) {
-            it.abandoned = true;
-        } else if (it.stage != request_stage::joined_run) {
-            waiting.push_back(id);
-        }
-    }
-    for (const auto id : waiting) {
-        refuse(now, id, refusal::not_leader, duration{0}, out);
+        it.abandoned = it.abandoned || it.stage == request_stage::in_flight;
     }
+    refuse_undispatched(now, refusal::not_leader, duration{0}, out);
     held_.clear();
     runs_by_key_.clear();
     commands_.clear();
@@ -151,6 +144,19 @@
     }
 }
 
+void server_agent::refuse_undispatched(instant now, refusal why, duration retry_after, effects& out)
+{
+    std::vector<request_id> waiting;
+    for (const auto& [id, it] : requests_) {
+        if (it.stage != request_stage::in_flight && it.stage != request_stage::joined_run) {
+            waiting.push_back(id);
+        }
+    }
+    for (const auto id : waiting) {
+        refuse(now, id, why, retry_after, out);
+    }
+}
+
 void server_agent::on_heartbeat(instant now, const host_id& from, const pair_heartbeat& beat,
                                 effects& out)
 {
--- a/src/plugins/host/host_task.cpp
+++ b/src/plugins/host/host_task.cpp
@@ -6,7 +6,7 @@
 
 #include <glog/logging.h>
 
-/// The host's life: start, the decisions' effects, stop.
+/// The host's life: start and the decisions' effects.
 namespace quincewing {
 
 namespace {
@@ -89,7 +89,7 @@
 
 bool host_task::ready() const
 {
-    return core_.has_state() && !stopping_;
+    return core_.has_state() && !stopping();
 }
 
 const service_settings* host_task::service(const service_id& id) const
@@ -102,27 +102,7 @@
 {
     core_.tick(monotonic_now(), effects_);
     work();
-    if (!stopping_ || !stopped_) {
-        return;
-    }
-    const auto now = monotonic_now();
-    const bool noticed = now > *notice_until_;
-    const bool over = (noticed && core_.idle() && open_.empty()) || now > *stop_by_;
-    if (over) {
-        auto done = std::move(stopped_);
-        stopped_ = nullptr;
-        done();
-    }
-}
-
-void host_task::stop(std::function<void()> done)
-{
-    stopping_ = true;
-    stop_by_ = monotonic_now() + settings_.stop_within;
-    notice_until_ = monotonic_now() + settings_.stop_notice;
-    stopped_ = std::move(done);
-    core_.leave(monotonic_now(), effects_);
-    work_timer_.soon();
+    advance_stop(monotonic_now());
 }
 
 void host_task::work()
--- a/src/plugins/host/host_task_requests.cpp
+++ b/src/plugins/host/host_task_requests.cpp
@@ -31,6 +31,10 @@
     it->started_at = monotonic_now();
     open_[it->id] = it;
     watch_answer(it);
+    if (refusing_) {
+        refuse_stopping(it);
+        return;
+    }
     if (it->from_peer) {
         serve_here(it);
         work_timer_.soon();
@@ -196,7 +200,7 @@
 
 bool host_task::try_again(const exchange_ptr& it, const response_head& head)
 {
-    if (it->from_peer || it->head_sent || head.verdict != verdict::not_run ||
+    if (refusing_ || it->from_peer || it->head_sent || head.verdict != verdict::not_run ||
         !may_be_elsewhere(head.why)) {
         return false;
     }
--- /dev/null
+++ b/src/plugins/host/host_task_stop.cpp
@@ -0,0 +1,80 @@
+#include "quincewing/host/host_task.hpp"
+
+#include <utility>
+
+/// How this host leaves: every request that it has read gets an answer before the process ends.
+namespace quincewing {
+
+namespace {
+
+// The balancer knows of other hosts by now.
+constexpr millis retry_elsewhere_after{100};
+
+} // namespace
+
+void host_task::stop(std::function<void()> done)
+{
+    const auto now = monotonic_now();
+    stop_ = make_stop_schedule(now, settings_.stop_within, settings_.stop_notice);
+    stopped_ = std::move(done);
+    core_.leave(now, effects_);
+    work_timer_.soon();
+}
+
+void host_task::advance_stop(instant now)
+{
+    if (!stop_ || !stopped_) {
+        return;
+    }
+    if (now >= stop_->refuse_at) {
+        refuse_waiting(now);
+    }
+    const bool finished = now > stop_->noticed_at && core_.idle() && open_.empty();
+    if (!finished && now < stop_->answer_all_at) {
+        return;
+    }
+    answer_all();
+    const auto done = std::exchange(stopped_, nullptr);
+    done();
+}
+
+// A request that no server has can be taken by another host, the sooner the better.
+void host_task::refuse_waiting(instant now)
+{
+    refusing_ = true;
+    core_.refuse_waiting(now, refusal::shutting_down, retry_elsewhere_after, effects_);
+    work();
+    const auto open = open_;
+    for (const auto& [id, it] : open) {
+        if (!it->head_sent && !may_have_run(*it)) {
+            refuse_stopping(it);
+        }
+    }
+}
+
+void host_task::refuse_stopping(const exchange_ptr& it)
+{
+    answer(it, {.why = refusal::shutting_down, .retry_after = retry_elsewhere_after});
+}
+
+// The time is over. An answer that has begun ends as one that is not whole.
+void host_task::answer_all()
+{
+    const auto open = open_;
+    for (const auto& [id, it] : open) {
+        if (it->head_sent) {
+            it->on_end(false);
+            continue;
+        }
+        answer(it, {.verdict = may_have_run(*it) ? verdict::unknown : verdict::not_run,
+                    .why = refusal::shutting_down,
+                    .retry_after = retry_elsewhere_after});
+    }
+}
+
+bool host_task::may_have_run(const exchange& it) const
+{
+    return it.handed_over || running_.contains(it.id) || core_.has_request(it.id);
+}
+
+} // namespace quincewing
--- a/tests/failures/stop_test.cpp
+++ b/tests/failures/stop_test.cpp
@@ -40,6 +40,37 @@
 
 } // namespace
 
+// The forced end of a stop abandoned what was still open.
+TEST_CASE("failure: a stop ends with requests that were read and have no answer")
+{
+    process_fleet fleet{one_host("3s")};
+    REQUIRE(fleet.wait_served());
+    std::vector<raw_caller> open;
+    for (int i = 0; i < 6; ++i) {
+        open.emplace_back(fleet.callers(0));
+        REQUIRE(open.back().get(work_of("boat" + std::to_string(i), millis{4000})));
+        pause_for(millis{20});
+    }
+    pause_for(millis{300});
+    fleet.host(0).signal(SIGTERM);
+    int refused = 0;
+    int broken_off = 0;
+    for (auto& it : open) {
+        const auto answers = it.read(1, longest_wait);
+        CHECK(answers.size() == 1);
+        if (answers.empty()) {
+            continue;
+        }
+        const auto& answer = answers.front();
+        const bool not_run = answer.status == 503 || answer.status == 429;
+        refused += not_run && answer.says("Retry-After: ") ? 1 : 0;
+        broken_off += answer.status == 504 ? 1 : 0;
+    }
+    CHECK(refused == 5);
+    CHECK(broken_off == 1);
+    CHECK(fleet.host(0).wait() == 0);
+}
+
 // The broken connection was kept, and the run with it.
 TEST_CASE("failure: callers that leave during an answer keep the server's slots")
 {
