Begin no request between a stop's end and the process's end

What callers saw: requests on kept connections that were read in the last 300 ms of a process ran at a server and had no answer.

Cause: the listener was closed, but the connections were still read and their requests passed on.

Evidence: of 30 requests sent from 2.05 s after the signal on, 6 ran and had no answer.

Test, before the change: stop_test.cpp:97 CHECK( answered || runs == 0 ) false, six times. After it: passes.

--- a/src/plugins/host/host_task_stop.cpp
+++ b/src/plugins/host/host_task_stop.cpp
@@ -33,6 +33,7 @@
     if (!finished && now < stop_->answer_all_at) {
         return;
     }
+    refusing_ = true;
     answer_all();
     const auto done = std::exchange(stopped_, nullptr);
     done();
--- a/tests/failures/stop_test.cpp
+++ b/tests/failures/stop_test.cpp
@@ -71,6 +71,32 @@
     CHECK(fleet.host(0).wait() == 0);
 }
 
+// Requests were still taken between the end of a stop and the end of the process.
+TEST_CASE("failure: a host passes requests on while it exits and never answers them")
+{
+    process_fleet fleet{{}};
+    REQUIRE(fleet.wait_served());
+    constexpr int callers = 30;
+    std::vector<raw_caller> open;
+    open.reserve(callers);
+    for (int i = 0; i < callers; ++i) {
+        open.emplace_back(fleet.callers(0));
+    }
+    fleet.host(0).signal(SIGTERM);
+    // The balancer has noticed and nothing is open.
+    pause_for(millis{2050});
+    std::vector<std::string> paths;
+    for (std::size_t i = 0; i < open.size() && !fleet.host(0).ended(); ++i) {
+        paths.push_back("/boats/late" + std::to_string(i) + "/state");
+        open[i].get(paths.back() + "?us=1000000");
+        pause_for(millis{10});
+    }
+    for (std::size_t i = 0; i < paths.size(); ++i) {
+        const bool answered = !open[i].read(1, longest_wait).empty();
+        CHECK((answered || runs_of(fleet, paths[i]) == 0));
+    }
+}
+
 // The broken connection was kept, and the run with it.
 TEST_CASE("failure: callers that leave during an answer keep the server's slots")
 {
