End a host's process only when its answers have left it

What callers saw: an answer that a slow caller still read was cut off when the host ended.

Cause: the host counts a request as done when its answer is written, which may be into a buffer of the process. The process then ended after a fixed 300 ms, far before the end of its grace period.

Evidence: 200,000 bytes read through a window of 4 kB from 5 s after the signal on: cut off.

Why this works: the process ends when no answer to a caller or to another host waits in it, or at the end of the grace period. The 300 ms stay for messages to other hosts.

Test, before the change: stop_test.cpp:114 REQUIRE( answers.size() == 1 ): 0 == 1. After it: passes.

--- a/include/quincewing/callers/callers_task.hpp
+++ b/include/quincewing/callers/callers_task.hpp
@@ -22,6 +22,8 @@
     bool start();
     /// Takes no new connections.
     void close();
+    /// No answer waits in this process any more.
+    [[nodiscard]] bool answers_sent() const;
 
 private:
     struct state;
--- a/include/quincewing/host/host_task.hpp
+++ b/include/quincewing/host/host_task.hpp
@@ -45,6 +45,8 @@
     [[nodiscard]] const host_core& core() const { return core_; }
     [[nodiscard]] const host_settings& settings() const { return settings_; }
     [[nodiscard]] bool stopping() const { return stop_.has_value(); }
+    /// No answer to a request that another host forwarded waits in this process any more.
+    [[nodiscard]] bool answers_sent() const { return peers_.answers_sent(); }
     /// When the process of a stopping host has ended.
     [[nodiscard]] instant ends_at() const { return stop_ ? stop_->ends_at : instant::max(); }
     /// Takes callers' requests: the state is known and the host does not stop.
--- a/include/quincewing/peers/peers_task.hpp
+++ b/include/quincewing/peers/peers_task.hpp
@@ -73,6 +73,8 @@
     /// failed is called instead when none began.
     void forward(const host_id& to, const exchange_ptr& it,
                  std::function<void(forward_failure)> failed);
+    /// No answer to a forwarded request waits in this process any more.
+    [[nodiscard]] bool answers_sent() const;
     [[nodiscard]] bool connected(const host_id& host) const;
     /// Hosts to which a link stands.
     [[nodiscard]] std::vector<host_id> connected_hosts() const;
--- a/src/app/serve.cpp
+++ b/src/app/serve.cpp
@@ -6,7 +6,6 @@
 #include "quincewing/host/host_task.hpp"
 #include "quincewing/operators/operators_task.hpp"
 
-#include <algorithm>
 #include <csignal>
 #include <event2/event.h>
 #include <glog/logging.h>
@@ -20,8 +19,9 @@
 
 constexpr int bad_settings = 2;
 constexpr int cannot_listen = 3;
-// Answers that were given leave the socket's buffer in this time.
-constexpr millis time_for_last_answers{300};
+// Other hosts are told the last news in this time.
+constexpr millis time_for_last_messages{300};
+constexpr millis look_every{10};
 
 tl::expected<host_settings, int> load(const command_line& line)
 {
@@ -58,7 +58,7 @@
 {
 public:
     stop_signals(event_loop& loop, host_task& host, callers_task& callers)
-        : loop_(loop), host_(host), callers_(callers), last_answers_(loop, [this] { loop_.stop(); })
+        : loop_(loop), host_(host), callers_(callers), last_answers_(loop, [this] { look(); })
     {
         const auto call = [](evutil_socket_t, short, void* arg) {
             static_cast<stop_signals*>(arg)->on_signal();
@@ -86,15 +86,26 @@
         LOG(INFO) << "change=stopping about=" << host_.core().options().self.value;
         host_.stop([this] {
             callers_.close();
-            const auto left = std::max(host_.ends_at() - monotonic_now(), duration{0});
-            last_answers_.once(std::min<duration>(time_for_last_answers, left));
+            messages_until_ = monotonic_now() + time_for_last_messages;
+            last_answers_.every(look_every);
         });
     }
 
+    // The process ends when every answer has left it, or when its time is over.
+    void look()
+    {
+        const auto now = monotonic_now();
+        const bool sent = callers_.answers_sent() && host_.answers_sent();
+        if ((sent && now >= messages_until_) || now >= host_.ends_at()) {
+            loop_.stop();
+        }
+    }
+
     event_loop& loop_;
     host_task& host_;
     callers_task& callers_;
     timer last_answers_;
+    instant messages_until_{};
     event* term_{};
     event* interrupt_{};
 };
--- a/src/plugins/callers/callers_task.cpp
+++ b/src/plugins/callers/callers_task.cpp
@@ -5,9 +5,12 @@
 #include "quincewing/net/endpoint.hpp"
 #include "quincewing/net/evhtp_hook.hpp"
 
+#include <algorithm>
 #include <cstdlib>
 #include <event2/buffer.h>
+#include <event2/bufferevent.h>
 #include <evhtp/evhtp.h>
+#include <set>
 
 namespace quincewing {
 
@@ -22,7 +25,7 @@
     event_loop& loop;
     host_task& host;
     evhtp_t* server{};
-    std::uint64_t connections{};
+    std::set<evhtp_connection_t*> connections;
     bool closed{};
 
     static evhtp_res on_accept(evhtp_connection_t* connection, void* arg);
@@ -35,20 +38,20 @@
 evhtp_res callers_task::state::on_accept(evhtp_connection_t* connection, void* arg)
 {
     auto& self = *static_cast<state*>(arg);
-    if (self.connections >= self.host.settings().limits.caller_connections) {
+    if (self.connections.size() >= self.host.settings().limits.caller_connections) {
         ++self.host.metrics().counter("quincewing_connections_refused_total");
         return EVHTP_RES_ERROR;
     }
-    ++self.connections;
+    self.connections.insert(connection);
     evhtp_connection_set_hook(connection, evhtp_hook_on_connection_fini,
                               as_evhtp_hook(on_connection_fini), arg);
     evhtp_connection_set_hook(connection, evhtp_hook_on_headers, as_evhtp_hook(on_headers), arg);
     return EVHTP_RES_OK;
 }
 
-evhtp_res callers_task::state::on_connection_fini(evhtp_connection_t* /*connection*/, void* arg)
+evhtp_res callers_task::state::on_connection_fini(evhtp_connection_t* connection, void* arg)
 {
-    --static_cast<state*>(arg)->connections;
+    static_cast<state*>(arg)->connections.erase(connection);
     return EVHTP_RES_OK;
 }
 
@@ -104,6 +107,15 @@
     }
 }
 
+bool callers_task::answers_sent() const
+{
+    const auto& all = state_->connections;
+    return std::all_of(all.begin(), all.end(), [](auto* it) {
+        auto* out = bufferevent_get_output(evhtp_connection_get_bev(it));
+        return evbuffer_get_length(out) == 0;
+    });
+}
+
 bool callers_task::start()
 {
     const auto& settings = state_->host.settings();
--- a/src/plugins/peers/h2_connection.cpp
+++ b/src/plugins/peers/h2_connection.cpp
@@ -352,4 +352,9 @@
     return n;
 }
 
+bool h2_connection::sent() const
+{
+    return closed_ || (nghttp2_session_want_write(session_) == 0 && pending_bytes() == 0);
+}
+
 } // namespace quincewing
--- a/src/plugins/peers/h2_connection.hpp
+++ b/src/plugins/peers/h2_connection.hpp
@@ -81,6 +81,8 @@
     /// Gives the connection up.
     void fail(int system_error);
     [[nodiscard]] std::size_t pending_bytes() const;
+    /// Nothing waits to be sent.
+    [[nodiscard]] bool sent() const;
     [[nodiscard]] bool closed() const { return closed_; }
 
 private:
--- a/src/plugins/peers/peer_session.hpp
+++ b/src/plugins/peers/peer_session.hpp
@@ -15,6 +15,8 @@
 public:
     peer_session(event_loop& loop, peers_task& owner, int fd);
 
+    [[nodiscard]] bool answers_sent() const { return connection_->sent(); }
+
 private:
     void on_stream(h2_stream& it);
     void take_messages(h2_stream& it);
--- a/src/plugins/peers/peers_task.cpp
+++ b/src/plugins/peers/peers_task.cpp
@@ -110,6 +110,12 @@
     return stands && found->second->host() == host ? found->second.get() : nullptr;
 }
 
+bool peers_task::answers_sent() const
+{
+    return std::all_of(sessions_.begin(), sessions_.end(),
+                       [](const auto& it) { return it->answers_sent(); });
+}
+
 bool peers_task::connected(const host_id& host) const
 {
     return link_to(host) != nullptr;
--- a/tests/failures/stop_test.cpp
+++ b/tests/failures/stop_test.cpp
@@ -97,6 +97,23 @@
     }
 }
 
+// A fixed time was left for answers to leave the process.
+TEST_CASE("failure: a host that exits cuts an answer that its caller reads slowly")
+{
+    process_fleet fleet{{}};
+    REQUIRE(fleet.wait_served());
+    raw_caller slow{fleet.callers(0), true};
+    constexpr std::size_t size = 200'000;
+    REQUIRE(slow.get("/boats/boat1/state?size=" + std::to_string(size)));
+    pause_for(millis{300});
+    fleet.host(0).signal(SIGTERM);
+    // The host has handed over and would end now.
+    pause_for(millis{5000});
+    const auto answers = slow.read(1, longest_wait);
+    REQUIRE(answers.size() == 1);
+    CHECK(answers.front().body.size() == size);
+}
+
 // The broken connection was kept, and the run with it.
 TEST_CASE("failure: callers that leave during an answer keep the server's slots")
 {
