Tell callers of a host that stops to end their connections

What callers saw: kept connections that ended under them when the process did.

Cause: answers of a stopping host did not say "Connection: close".

Why this works: from the end of the notice on, a small answer says so if no byte of a next request has come on its connection. Requests behind it are answered first: none of them is cut off. The caller ends the connection; a close from the host's side could reset it and cut the answer.

Test, before the change: stop_test.cpp:132 CHECK( says("Connection: close") ) false. After it: passes.

--- a/include/quincewing/host/host_task.hpp
+++ b/include/quincewing/host/host_task.hpp
@@ -45,6 +45,8 @@
     [[nodiscard]] const host_core& core() const { return core_; }
     [[nodiscard]] const host_settings& settings() const { return settings_; }
     [[nodiscard]] bool stopping() const { return stop_.has_value(); }
+    /// Callers that keep a connection to this host should open their next one to another host.
+    [[nodiscard]] bool ends_connections() const;
     /// No answer to a request that another host forwarded waits in this process any more.
     [[nodiscard]] bool answers_sent() const { return peers_.answers_sent(); }
     /// When the process of a stopping host has ended.
--- a/src/plugins/callers/caller_request.cpp
+++ b/src/plugins/callers/caller_request.cpp
@@ -6,6 +6,7 @@
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace quincewing {
@@ -40,6 +41,14 @@
     return out;
 }
 
+// Whether bytes of a next request have come on the connection.
+bool more_came(const evhtp_connection_t* connection)
+{
+    int in_socket = 0;
+    ioctl(connection->sock, FIONREAD, &in_socket);
+    return in_socket > 0 || evbuffer_get_length(bufferevent_get_input(connection->bev)) > 0;
+}
+
 } // namespace
 
 caller_request::caller_request(host_task& host, evhtp_request_t* request)
@@ -119,6 +128,10 @@
     const bool no_body = evhtp_response_needs_body(status_, request_->method) == 0;
     if (no_body || (head.length && *head.length <= gathered_at_most)) {
         framing_ = framing::gathered;
+        // The caller ends the connection: a close from here could cut the answer off.
+        if (host_.ends_connections() && !more_came(request_->conn)) {
+            add_header("Connection", "close");
+        }
     } else if (head.length) {
         framing_ = framing::sized;
         add_header("Content-Length", std::to_string(*head.length));
--- a/src/plugins/host/host_task_stop.cpp
+++ b/src/plugins/host/host_task_stop.cpp
@@ -21,6 +21,12 @@
     work_timer_.soon();
 }
 
+// Before that the balancer would bring the callers back to this host.
+bool host_task::ends_connections() const
+{
+    return stop_ && (refusing_ || monotonic_now() > stop_->noticed_at);
+}
+
 void host_task::advance_stop(instant now)
 {
     if (!stop_ || !stopped_) {
--- a/tests/failures/stop_test.cpp
+++ b/tests/failures/stop_test.cpp
@@ -114,6 +114,31 @@
     CHECK(answers.front().body.size() == size);
 }
 
+// The connection would end under the next request.
+TEST_CASE("failure: callers of a host that stops are not told that their connection ends")
+{
+    process_fleet fleet{one_host("6s")};
+    REQUIRE(fleet.wait_served());
+    raw_caller plain{fleet.callers(0)};
+    raw_caller pipelined{fleet.callers(0)};
+    REQUIRE(plain.get("/boats/boat1/state"));
+    REQUIRE(plain.read(1, longest_wait).size() == 1);
+    fleet.host(0).signal(SIGTERM);
+    pause_for(millis{2500});
+    REQUIRE(plain.get(work_of("boat1", millis{20})));
+    auto answers = plain.read(1, longest_wait);
+    REQUIRE(answers.size() == 1);
+    CHECK(answers.front().says("Connection: close"));
+    // Requests that wait behind one on its connection are answered before the connection ends.
+    const std::string request = "GET /boats/boat1/state HTTP/1.1\r\nHost: test\r\n\r\n";
+    REQUIRE(pipelined.send(request + request + request));
+    answers = pipelined.read(3, longest_wait);
+    REQUIRE(answers.size() == 3);
+    CHECK_FALSE(answers[0].says("Connection: close"));
+    CHECK_FALSE(answers[1].says("Connection: close"));
+    CHECK(answers[2].says("Connection: close"));
+}
+
 // The broken connection was kept, and the run with it.
 TEST_CASE("failure: callers that leave during an answer keep the server's slots")
 {
