Answer confirmations that wait when a host ends

What operators saw: a confirmation's connection closed with no answer.

Cause: the process ended while the confirmation waited for the log.

Evidence: platform down, /confirm sent, SIGTERM, stop_within 3s: no answer.

Why this works: when the stop is done, confirmations that wait get the 504 that they get after 10 s: the plan may still come into force, confirm it again or explain it later.

Test, before the change: stop_test.cpp:182 REQUIRE( answers.size() == 1 ): 0 == 1. After it: passes.

--- a/include/quincewing/operators/operators_task.hpp
+++ b/include/quincewing/operators/operators_task.hpp
@@ -17,6 +17,8 @@
 
     /// Listens; false when the address cannot be had.
     bool start();
+    /// Takes no new connections and answers the confirmations that wait.
+    void close();
 
 private:
     struct state;
--- a/src/app/serve.cpp
+++ b/src/app/serve.cpp
@@ -57,8 +57,10 @@
 class stop_signals
 {
 public:
-    stop_signals(event_loop& loop, host_task& host, callers_task& callers)
-        : loop_(loop), host_(host), callers_(callers), last_answers_(loop, [this] { look(); })
+    stop_signals(event_loop& loop, host_task& host, callers_task& callers,
+                 operators_task& operators)
+        : loop_(loop), host_(host), callers_(callers), operators_(operators),
+          last_answers_(loop, [this] { look(); })
     {
         const auto call = [](evutil_socket_t, short, void* arg) {
             static_cast<stop_signals*>(arg)->on_signal();
@@ -86,6 +88,7 @@
         LOG(INFO) << "change=stopping about=" << host_.core().options().self.value;
         host_.stop([this] {
             callers_.close();
+            operators_.close();
             messages_until_ = monotonic_now() + time_for_last_messages;
             last_answers_.every(look_every);
         });
@@ -104,6 +107,7 @@
     event_loop& loop_;
     host_task& host_;
     callers_task& callers_;
+    operators_task& operators_;
     timer last_answers_;
     instant messages_until_{};
     event* term_{};
@@ -148,7 +152,7 @@
                    << settings->callers << " or " << settings->operators;
         return cannot_listen;
     }
-    stop_signals signals{loop, host, callers};
+    stop_signals signals{loop, host, callers, operators};
     LOG(INFO) << "change=started about=" << self.value << " data_centre=" << settings->data_centre
               << " callers=" << settings->callers << " operators=" << settings->operators;
     loop.run();
--- a/src/plugins/operators/operators_task.cpp
+++ b/src/plugins/operators/operators_task.cpp
@@ -66,6 +66,7 @@
     timer look_timer;
     std::list<waiting> confirmations;
     std::uint64_t plans_made{};
+    bool closed{};
 
     void status(evhtp_request_t* request);
     void metrics(evhtp_request_t* request);
@@ -189,7 +190,7 @@
         answer["reason"] = fate->reason;
         answer["offset"] = fate->offset;
         status = fate->accepted ? EVHTP_RES_OK : EVHTP_RES_CONFLICT;
-    } else if (now - it.since > give_up_after) {
+    } else if (closed || now - it.since > give_up_after) {
         answer["error"] = "the log did not tell yet; the plan may still come into force: confirm "
                           "it again or explain it later";
         status = EVHTP_RES_GWTIMEOUT;
@@ -222,11 +223,20 @@
 operators_task::~operators_task()
 {
     if (state_->server != nullptr) {
-        evhtp_unbind_socket(state_->server);
+        close();
         evhtp_free(state_->server);
     }
 }
 
+void operators_task::close()
+{
+    if (!state_->closed) {
+        state_->closed = true;
+        evhtp_unbind_socket(state_->server);
+        state_->look();
+    }
+}
+
 bool operators_task::start()
 {
     const auto at = parse_endpoint(state_->host.settings().operators);
--- a/tests/failures/stop_test.cpp
+++ b/tests/failures/stop_test.cpp
@@ -161,6 +161,27 @@
     }
 }
 
+// The process ended with the confirmation still waiting for the log.
+TEST_CASE("failure: a stop ends with a confirmation that has no answer")
+{
+    process_fleet fleet{one_host("3s")};
+    REQUIRE(fleet.wait_served());
+    const auto plan = http_call_and_wait({.method = "POST",
+                                          .address = fleet.operators(0),
+                                          .path = "/plan",
+                                          .body = R"({"intent":"level","service":"boats"})"});
+    REQUIRE_MESSAGE(plan.status == 200, plan.body);
+    fleet.control_platform("outage=1");
+    raw_caller caller{fleet.operators(0)};
+    REQUIRE(caller.send("POST /confirm HTTP/1.1\r\nHost: test\r\nContent-Length: " +
+                        std::to_string(plan.body.size()) + "\r\n\r\n" + plan.body));
+    pause_for(millis{100});
+    fleet.host(0).signal(SIGTERM);
+    const auto answers = caller.read(1, longest_wait);
+    REQUIRE(answers.size() == 1);
+    CHECK(answers.front().status == 504);
+}
+
 // It handed over only what it led when it was told to stop.
 TEST_CASE("failure: a host that takes a server over while it stops keeps it to the end of its time")
 {
