Answer a caller when its answer breaks off before any of it was sent

What callers saw: a connection that closed with no answer when a server, or the host between, broke off an answer of up to 32 kB.

Cause: such answers are gathered and sent in one piece, but a break was handled as if the head had been sent.

Evidence: a server that sends a head and half a body: the caller read 0 bytes and the end.

Why this works: nothing has left the host, so it gives its own answer, 504 with verdict unknown, without the server's headers. Larger answers, of which a part was sent, still end so that they look incomplete.

--- a/src/plugins/callers/caller_request.cpp
+++ b/src/plugins/callers/caller_request.cpp
@@ -169,6 +169,11 @@
     if (finished_) {
         return;
     }
+    if (!whole && framing_ == framing::gathered) {
+        // Nothing was sent so far.
+        fail();
+        return;
+    }
     if (!whole) {
         // What was sent so far must not look complete.
         finished_ = true;
@@ -179,6 +184,19 @@
     finish();
 }
 
+// The answer broke off before any of it was sent: the caller gets an answer of this host.
+void caller_request::fail()
+{
+    const auto [head, body] =
+        to_response({.verdict = verdict::unknown, .why = refusal::server_failed});
+    evhtp_kvs_free(request_->headers_out);
+    request_->headers_out = evhtp_kvs_new();
+    evbuffer_drain(request_->buffer_out, evbuffer_get_length(request_->buffer_out));
+    on_head(head);
+    evbuffer_add(request_->buffer_out, body.data(), body.size());
+    finish();
+}
+
 void caller_request::finish()
 {
     finished_ = true;
--- a/src/plugins/callers/caller_request.hpp
+++ b/src/plugins/callers/caller_request.hpp
@@ -36,6 +36,7 @@
     void on_end(bool whole);
     void refuse(int status, const std::string& what);
     void add_header(const char* key, const std::string& value);
+    void fail();
     void finish();
     static evhtp_res on_fini(evhtp_request_t* request, void* arg);
     static void on_error(evhtp_request_t* request, evhtp_error_flags error, void* arg);
--- a/tests/failures/process_fleet.cpp
+++ b/tests/failures/process_fleet.cpp
@@ -243,7 +243,9 @@
     const int server_port = layout_.server_relays ? server_relays_at : servers_at;
     for (int i = 0; i < servers(); ++i) {
         out << "[server " << server_name(i) << "]\nservice = boats\ndata_centre = dc"
-            << i / layout_.servers_each << "\naddress = " << at("127.0.0.1", port(server_port + i))
+            << i / layout_.servers_each << "\naddress = "
+            << (i == 0 && !layout_.server_at.empty() ? layout_.server_at
+                                                     : at("127.0.0.1", port(server_port + i)))
             << "\n";
     }
     return path;
--- a/tests/failures/process_fleet.hpp
+++ b/tests/failures/process_fleet.hpp
@@ -47,6 +47,8 @@
     std::string isolation_hold{"600s"};
     std::string deadline{"2s"};
     std::string stop_within{"10s"};
+    /// Where the first server is that the test runs itself; empty for a stand-in.
+    std::string server_at;
     double appends_per_second{300};
 };
 
--- a/tests/failures/stop_test.cpp
+++ b/tests/failures/stop_test.cpp
@@ -1,3 +1,4 @@
+#include "broken_server.hpp"
 #include "process_fleet.hpp"
 #include "raw_caller.hpp"
 
@@ -197,6 +198,23 @@
     CHECK(std::chrono::steady_clock::now() - begun < seconds{15});
 }
 
+// What has not left the host yet can still be replaced.
+TEST_CASE("failure: a caller has no answer when the server breaks off one that was not passed on")
+{
+    broken_server server{"127.0.0.1:11990"};
+    REQUIRE(server.listening());
+    auto layout = one_host("10s");
+    layout.server_at = "127.0.0.1:11990";
+    process_fleet fleet{layout};
+    REQUIRE(fleet.wait_served());
+    raw_caller caller{fleet.callers(0)};
+    REQUIRE(caller.get("/boats/boat1/state"));
+    const auto answers = caller.read(1, longest_wait);
+    REQUIRE(answers.size() == 1);
+    CHECK(answers.front().status == 504);
+    CHECK_FALSE(answers.front().says("X-Server"));
+}
+
 // A pair of one member handed over to nobody.
 TEST_CASE("failure: the only host refuses all requests from the signal on")
 {
