Answer every request when a second signal ends a stop

What callers saw: connections that closed with no answer at a second SIGTERM.

Cause: the second signal ended the loop, and with it the process, at once.

Evidence: a request of 4 s of work, two signals 300 ms apart: no answer.

Test, before the change: stop_test.cpp:213 REQUIRE( answers.size() == 1 ): 0 == 1. After it: passes.

--- a/include/quincewing/host/host_task.hpp
+++ b/include/quincewing/host/host_task.hpp
@@ -41,6 +41,8 @@
     void append(record_body body) { platform_.append(std::move(body)); }
     /// Hands over and finishes what is in flight; done is called when every request has its answer.
     void stop(std::function<void()> done);
+    /// Ends a stop that has begun: what is open is answered at once.
+    void stop_now();
 
     [[nodiscard]] const host_core& core() const { return core_; }
     [[nodiscard]] const host_settings& settings() const { return settings_; }
--- a/include/quincewing/host/stop_schedule.hpp
+++ b/include/quincewing/host/stop_schedule.hpp
@@ -20,4 +20,7 @@
 /// The schedule of a stop that begins now and may take this long.
 stop_schedule make_stop_schedule(instant now, duration within, duration notice);
 
+/// The same stop without a wait for servers from now on.
+stop_schedule end_at_once(stop_schedule it, instant now);
+
 } // namespace quincewing
--- a/src/app/serve.cpp
+++ b/src/app/serve.cpp
@@ -53,7 +53,7 @@
     return make_host_id(settings.address, instance);
 }
 
-/// Stops the loop gracefully at the first signal and at once at the second.
+/// Stops the host gracefully at the first signal, and with no wait for servers at the second.
 class stop_signals
 {
 public:
@@ -82,7 +82,7 @@
     void on_signal()
     {
         if (host_.stopping()) {
-            loop_.stop();
+            host_.stop_now();
             return;
         }
         LOG(INFO) << "change=stopping about=" << host_.core().options().self.value;
--- a/src/plugins/host/host_task_stop.cpp
+++ b/src/plugins/host/host_task_stop.cpp
@@ -21,6 +21,13 @@
     work_timer_.soon();
 }
 
+void host_task::stop_now()
+{
+    if (stop_) {
+        stop_ = end_at_once(*stop_, monotonic_now());
+    }
+}
+
 // Before that the balancer would bring the callers back to this host.
 bool host_task::ends_connections() const
 {
--- a/src/plugins/host/stop_schedule.cpp
+++ b/src/plugins/host/stop_schedule.cpp
@@ -22,4 +22,12 @@
             .ends_at = now + within};
 }
 
+stop_schedule end_at_once(stop_schedule it, instant now)
+{
+    it.refuse_at = std::min(it.refuse_at, now);
+    it.answer_all_at = std::min(it.answer_all_at, now);
+    it.ends_at = std::min(it.ends_at, now + most_for_last_answers);
+    return it;
+}
+
 } // namespace quincewing
--- a/tests/failures/stop_test.cpp
+++ b/tests/failures/stop_test.cpp
@@ -198,6 +198,22 @@
     CHECK(std::chrono::steady_clock::now() - begun < seconds{15});
 }
 
+// The second signal ended the process at once.
+TEST_CASE("failure: a second signal ends a host with requests that have no answer")
+{
+    process_fleet fleet{one_host("10s")};
+    REQUIRE(fleet.wait_served());
+    raw_caller caller{fleet.callers(0)};
+    REQUIRE(caller.get(work_of("boat1", millis{4000})));
+    pause_for(millis{300});
+    fleet.host(0).signal(SIGTERM);
+    pause_for(millis{300});
+    fleet.host(0).signal(SIGTERM);
+    const auto answers = caller.read(1, longest_wait);
+    REQUIRE(answers.size() == 1);
+    CHECK(answers.front().status == 504);
+}
+
 // What has not left the host yet can still be replaced.
 TEST_CASE("failure: a caller has no answer when the server breaks off one that was not passed on")
 {
