Give the two types named route names of their own

What callers saw: with a Release build, the product's own deployment ended at its first request.

Cause: control/host_core.hpp and routing/configuration.hpp both defined quincewing::route. The linker keeps one copy of the functions that the compiler makes for a name, here ~route() and ~vector<route>(), so the host destroyed its routes with the functions for the other type.

Why this works: the types have different names.

In the Release build of "path: a posted form reaches the server": CHECK( 0 == 200 ), three times.

--- a/include/quincewing/control/host_core.hpp
+++ b/include/quincewing/control/host_core.hpp
@@ -44,7 +44,7 @@
 };
 
 /// Where a request is served.
-struct route
+struct leader_route
 {
     shard_id shard;
     server_id server;
@@ -84,11 +84,11 @@
 
     /// The shard of a key; any_shard when the service has no shards.
     [[nodiscard]] shard_id shard_of(const service_id& service, std::string_view key) const;
-    [[nodiscard]] std::optional<route> find_route(const shard_id& shard) const;
+    [[nodiscard]] std::optional<leader_route> find_route(const shard_id& shard) const;
     /// Servers that are known not to answer their leaders.
     [[nodiscard]] std::set<server_id> lost_servers() const;
     /// Routes to all usable servers of a service, for requests without a shard.
-    [[nodiscard]] std::vector<route> any_routes(const service_id& service) const;
+    [[nodiscard]] std::vector<leader_route> any_routes(const service_id& service) const;
 
     /// Hands over the servers that this host leads, from the next tick on; it claims no others.
     void leave(instant now, effects& out);
--- a/src/libs/control/host_core.cpp
+++ b/src/libs/control/host_core.cpp
@@ -535,7 +535,7 @@
     return {service, static_cast<std::uint32_t>(stable_hash(key) % found->second.shards)};
 }
 
-std::optional<route> host_core::find_route(const shard_id& shard) const
+std::optional<leader_route> host_core::find_route(const shard_id& shard) const
 {
     const auto found = state_.shards().find(shard);
     if (found == state_.shards().end()) {
@@ -544,12 +544,12 @@
     const auto hint = shard_hints_.find(shard);
     const bool moved_alone = hint != shard_hints_.end() && hint->second.fence > found->second.fence;
     const auto& server = moved_alone ? hint->second.server : found->second.owner;
-    return route{.shard = shard, .server = server, .leader = leader_of(server)};
+    return leader_route{.shard = shard, .server = server, .leader = leader_of(server)};
 }
 
-std::vector<route> host_core::any_routes(const service_id& service) const
+std::vector<leader_route> host_core::any_routes(const service_id& service) const
 {
-    std::vector<route> out;
+    std::vector<leader_route> out;
     for (const auto& [id, server] : state_.servers()) {
         if (server.service == service && !server.retiring && server_usable(id)) {
             out.push_back({.shard = {service, any_shard}, .server = id, .leader = leader_of(id)});
