--- a/include/quincewing/control/host_core.hpp
+++ b/include/quincewing/control/host_core.hpp
@@ -44,7 +44,7 @@
 };
 
 /// Where a request is served.
-struct route
+struct leader_route
 {
     shard_id shard;
     server_id server;
@@ -84,14 +84,18 @@
 
     /// The shard of a key; any_shard when the service has no shards.
     [[nodiscard]] shard_id shard_of(const service_id& service, std::string_view key) const;
-    [[nodiscard]] std::optional<route> find_route(const shard_id& shard) const;
+    [[nodiscard]] std::optional<leader_route> find_route(const shard_id& shard) const;
     /// Servers that are known not to answer their leaders.
     [[nodiscard]] std::set<server_id> lost_servers() const;
     /// Routes to all usable servers of a service, for requests without a shard.
-    [[nodiscard]] std::vector<route> any_routes(const service_id& service) const;
+    [[nodiscard]] std::vector<leader_route> any_routes(const service_id& service) const;
 
-    /// Starts to hand over all servers that this host leads; it claims no others.
+    /// Hands over the servers that this host leads, from the next tick on; it claims no others.
     void leave(instant now, effects& out);
+    /// Refuses the requests that wait here and were not sent to a server.
+    void refuse_waiting(instant now, refusal why, duration retry_after, effects& out);
+    /// A request that was begun and has not ended yet.
+    [[nodiscard]] bool has_request(request_id id) const;
     /// This host leads no server and has no open request.
     [[nodiscard]] bool idle() const;
 
--- a/src/app/serve.cpp
+++ b/src/app/serve.cpp
@@ -19,8 +19,9 @@
 
 constexpr int bad_settings = 2;
 constexpr int cannot_listen = 3;
-// Answers that were given leave the socket's buffer in this time.
-constexpr millis time_for_last_answers{300};
+// Other hosts are told the last news in this time.
+constexpr millis time_for_last_messages{300};
+constexpr millis look_every{10};
 
 tl::expected<host_settings, int> load(const command_line& line)
 {
@@ -52,12 +53,14 @@
     return make_host_id(settings.address, instance);
 }
 
-/// Stops the loop gracefully at the first signal and at once at the second.
+/// Stops the host gracefully at the first signal, and with no wait for servers at the second.
 class stop_signals
 {
 public:
-    stop_signals(event_loop& loop, host_task& host, callers_task& callers)
-        : loop_(loop), host_(host), callers_(callers), last_answers_(loop, [this] { loop_.stop(); })
+    stop_signals(event_loop& loop, host_task& host, callers_task& callers,
+                 operators_task& operators)
+        : loop_(loop), host_(host), callers_(callers), operators_(operators),
+          last_answers_(loop, [this] { look(); })
     {
         const auto call = [](evutil_socket_t, short, void* arg) {
             static_cast<stop_signals*>(arg)->on_signal();
@@ -79,20 +82,34 @@
     void on_signal()
     {
         if (host_.stopping()) {
-            loop_.stop();
+            host_.stop_now();
             return;
         }
         LOG(INFO) << "change=stopping about=" << host_.core().options().self.value;
         host_.stop([this] {
             callers_.close();
-            last_answers_.once(time_for_last_answers);
+            operators_.close();
+            messages_until_ = monotonic_now() + time_for_last_messages;
+            last_answers_.every(look_every);
         });
     }
 
+    // The process ends when every answer has left it, or when its time is over.
+    void look()
+    {
+        const auto now = monotonic_now();
+        const bool sent = callers_.answers_sent() && host_.answers_sent();
+        if ((sent && now >= messages_until_) || now >= host_.ends_at()) {
+            loop_.stop();
+        }
+    }
+
     event_loop& loop_;
     host_task& host_;
     callers_task& callers_;
+    operators_task& operators_;
     timer last_answers_;
+    instant messages_until_{};
     event* term_{};
     event* interrupt_{};
 };
@@ -135,7 +152,7 @@
                    << settings->callers << " or " << settings->operators;
         return cannot_listen;
     }
-    stop_signals signals{loop, host, callers};
+    stop_signals signals{loop, host, callers, operators};
     LOG(INFO) << "change=started about=" << self.value << " data_centre=" << settings->data_centre
               << " callers=" << settings->callers << " operators=" << settings->operators;
     loop.run();
--- a/src/libs/control/host_core.cpp
+++ b/src/libs/control/host_core.cpp
@@ -469,6 +469,10 @@
         out.appends.emplace_back(options_.initial_record);
     }
     for (auto& [server, agent] : agents_) {
+        // Without the log nobody could take over, and the server would be led by nobody.
+        if (leaving_ && log_reachable(now)) {
+            agent.hand_over();
+        }
         agent.tick(now, surroundings(now, server, agent.pair().view()), state_, out);
     }
     claim_servers(now, out);
@@ -531,7 +535,7 @@
     return {service, static_cast<std::uint32_t>(stable_hash(key) % found->second.shards)};
 }
 
-std::optional<route> host_core::find_route(const shard_id& shard) const
+std::optional<leader_route> host_core::find_route(const shard_id& shard) const
 {
     const auto found = state_.shards().find(shard);
     if (found == state_.shards().end()) {
@@ -540,12 +544,12 @@
     const auto hint = shard_hints_.find(shard);
     const bool moved_alone = hint != shard_hints_.end() && hint->second.fence > found->second.fence;
     const auto& server = moved_alone ? hint->second.server : found->second.owner;
-    return route{.shard = shard, .server = server, .leader = leader_of(server)};
+    return leader_route{.shard = shard, .server = server, .leader = leader_of(server)};
 }
 
-std::vector<route> host_core::any_routes(const service_id& service) const
+std::vector<leader_route> host_core::any_routes(const service_id& service) const
 {
-    std::vector<route> out;
+    std::vector<leader_route> out;
     for (const auto& [id, server] : state_.servers()) {
         if (server.service == service && !server.retiring && server_usable(id)) {
             out.push_back({.shard = {service, any_shard}, .server = id, .leader = leader_of(id)});
@@ -570,11 +574,23 @@
     leaving_ = true;
     next_heartbeat_ = now;
     send_heartbeats(now, out);
+}
+
+void host_core::refuse_waiting(instant now, refusal why, duration retry_after, effects& out)
+{
     for (auto& [server, agent] : agents_) {
-        if (agent.pair().is_leader()) {
-            agent.hand_over();
-        }
+        agent.refuse_undispatched(now, why, retry_after, out);
+    }
+}
+
+bool host_core::has_request(request_id id) const
+{
+    const auto found = request_servers_.find(id);
+    if (found == request_servers_.end()) {
+        return false;
     }
+    const auto agent = agents_.find(found->second);
+    return agent != agents_.end() && agent->second.has_request(id);
 }
 
 bool host_core::idle() const
--- a/src/plugins/callers/caller_request.cpp
+++ b/src/plugins/callers/caller_request.cpp
@@ -6,6 +6,7 @@
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace quincewing {
@@ -40,6 +41,14 @@
     return out;
 }
 
+// Whether bytes of a next request have come on the connection.
+bool more_came(const evhtp_connection_t* connection)
+{
+    int in_socket = 0;
+    ioctl(connection->sock, FIONREAD, &in_socket);
+    return in_socket > 0 || evbuffer_get_length(bufferevent_get_input(connection->bev)) > 0;
+}
+
 } // namespace
 
 caller_request::caller_request(host_task& host, evhtp_request_t* request)
@@ -52,6 +61,7 @@
 {
     auto* self = new caller_request{host, request};
     evhtp_request_set_hook(request, evhtp_hook_on_request_fini, as_evhtp_hook(on_fini), self);
+    evhtp_request_set_hook(request, evhtp_hook_on_error, as_evhtp_hook(on_error), self);
 }
 
 void caller_request::take(evhtp_request_t* request)
@@ -118,6 +128,10 @@
     const bool no_body = evhtp_response_needs_body(status_, request_->method) == 0;
     if (no_body || (head.length && *head.length <= gathered_at_most)) {
         framing_ = framing::gathered;
+        // The caller ends the connection: a close from here could cut the answer off.
+        if (host_.ends_connections() && !more_came(request_->conn)) {
+            add_header("Connection", "close");
+        }
     } else if (head.length) {
         framing_ = framing::sized;
         add_header("Content-Length", std::to_string(*head.length));
@@ -155,6 +169,11 @@
     if (finished_) {
         return;
     }
+    if (!whole && framing_ == framing::gathered) {
+        // Nothing was sent so far.
+        fail();
+        return;
+    }
     if (!whole) {
         // What was sent so far must not look complete.
         finished_ = true;
@@ -165,6 +184,19 @@
     finish();
 }
 
+// The answer broke off before any of it was sent: the caller gets an answer of this host.
+void caller_request::fail()
+{
+    const auto [head, body] =
+        to_response({.verdict = verdict::unknown, .why = refusal::server_failed});
+    evhtp_kvs_free(request_->headers_out);
+    request_->headers_out = evhtp_kvs_new();
+    evbuffer_drain(request_->buffer_out, evbuffer_get_length(request_->buffer_out));
+    on_head(head);
+    evbuffer_add(request_->buffer_out, body.data(), body.size());
+    finish();
+}
+
 void caller_request::finish()
 {
     finished_ = true;
@@ -198,6 +230,16 @@
     return EVHTP_RES_OK;
 }
 
+// The library keeps a broken connection, and its request, for as long as it is paused.
+void caller_request::on_error(evhtp_request_t* request, evhtp_error_flags /*error*/, void* arg)
+{
+    auto* self = static_cast<caller_request*>(arg);
+    if (!self->finished_) {
+        self->finished_ = true;
+        evhtp_request_resume(request);
+    }
+}
+
 evhtp_res caller_request::on_write(evhtp_connection_t* /*connection*/, void* arg)
 {
     auto* self = static_cast<caller_request*>(arg);
