Coordinator: a stop gives up the term also when the table is being written

What callers saw: keys without an owner for longer after the coordinator was stopped, and its stop ran to the end of the grace period (whole=no). Found in review. Cause: the term was given up only if no append was under way when the signal came, and an append that the store refused was not sent again: a stop had no rule for what was open. Evidence: two new tests failed before (stopped() false, the table still names the host). Change: the term is given up with the first tick without an append under way, and again after a refusal. Measured: both tests pass, and the other coordinator tests.

--- a/include/quincewing/assignment/coordinator.hpp
+++ b/include/quincewing/assignment/coordinator.hpp
@@ -140,6 +140,8 @@
     void request_read(instant now);
     void adopt_table(assignment_table table);
     void carry_over_states(const assignment_table& next);
+    /// Once the host stops: takes its name out of the table, unless an append is under way.
+    void give_up_term(instant now);
     void begin_term(instant now);
     void lose_term(const char* why);
     void start_append(instant now, assignment_table next);
--- a/src/libs/assignment/coordinator.cpp
+++ b/src/libs/assignment/coordinator.cpp
@@ -185,6 +185,8 @@
     }
     if (outcome == append_outcome::not_done) {
         pending_append_.reset();
+        // A term that the store did not take back is given up again with the next tick.
+        coordinating_ = coordinating_ || (stopping_ && table_.coordinator == options_.self);
         return;
     }
     append_outcome_unknown_ = true;
@@ -249,13 +251,19 @@
         return;
     }
     stopping_ = true;
-    if (acting(now) && !pending_append_) {
-        auto next = table_;
-        clear_released_owners(next);
-        next.coordinator = {};
-        coordinating_ = false;
-        start_append(now, std::move(next));
+    give_up_term(now);
+}
+
+void coordinator::give_up_term(instant now)
+{
+    if (!acting(now) || pending_append_) {
+        return;
     }
+    auto next = table_;
+    clear_released_owners(next);
+    next.coordinator = {};
+    coordinating_ = false;
+    start_append(now, std::move(next));
 }
 
 // ---- servers
@@ -316,6 +324,9 @@
         if (!acting(now)) {
             return;
         }
+        if (stopping_) {
+            give_up_term(now);
+        }
         update_table(now);
         if (pending_append_ && !coordinating_) {
             return;
--- a/tests/auto/assignment/coordinator_test.cpp
+++ b/tests/auto/assignment/coordinator_test.cpp
@@ -400,3 +400,56 @@
     f.run(seconds{6});
     CHECK(f.core.coordinating());
 }
+
+// Guards against a host that leaves and keeps the term, since it was writing the table when it was
+// told to stop: its successor then waits until it counts as silent.
+TEST_CASE("coordinator: a stop while the table is being written gives up the term")
+{
+    coordinator_fixture it;
+    it.add_server("s1");
+    it.add_server("s2");
+    it.run(seconds{5});
+    REQUIRE(it.core.coordinating());
+    // A server goes: its keys are moved by an append that the store has not answered yet.
+    it.remove_server("s2");
+    std::vector<coordinator_effect> held_back;
+    for (int i = 0; i < 400 && held_back.empty(); ++i) {
+        it.now += millis{50};
+        it.core.tick(it.now);
+        for (auto& effect : it.core.take_effects()) {
+            if (std::holds_alternative<append_table>(effect)) {
+                held_back.push_back(effect);
+            } else if (std::holds_alternative<read_table>(effect)) {
+                it.core.on_table_read(it.now, it.now, it.stored, log_offset{it.end});
+            } else if (const auto* grant = std::get_if<grant_keys>(&effect)) {
+                it.core.on_call(it.now, grant->number, it.grant_outcome(*grant), "",
+                                connection_number{1});
+            } else if (const auto* release = std::get_if<release_keys>(&effect)) {
+                it.core.on_call(it.now, release->number, it.release_outcome(*release), "token", {});
+            }
+        }
+    }
+    REQUIRE(!held_back.empty());
+    it.core.stop(it.now);
+    it.stored = decode_table(std::get<append_table>(held_back.front()).data).value();
+    ++it.end;
+    it.core.on_append(it.now, append_outcome::appended);
+    it.run(seconds{3});
+    CHECK(it.core.stopped());
+    CHECK_FALSE(it.core.coordinating());
+    CHECK(it.stored->coordinator.value.empty());
+}
+
+// Guards against a host that leaves and keeps the term, since the store refused its one append.
+TEST_CASE("coordinator: a refused append at the stop is sent again")
+{
+    coordinator_fixture it;
+    it.add_server("s1");
+    it.run(seconds{5});
+    REQUIRE(it.core.coordinating());
+    it.core.stop(it.now);
+    REQUIRE(!it.core.take_effects().empty());
+    it.core.on_append(it.now, append_outcome::not_done);
+    it.run(seconds{3});
+    CHECK(it.stored->coordinator.value.empty());
+}
