Entry host: a rejection reaches a caller that had announced its last request

Found in review: "Connection: close" on a request says nothing about the rest of its own body. A caller that sent an oversized one was reset, which the new test shows (failed before). The test of waiting requests now also checks that they are refused at half of the grace period, not at its end.

--- a/src/plugins/entry/caller_connection.cpp
+++ b/src/plugins/entry/caller_connection.cpp
@@ -119,6 +119,7 @@
     if (too_large) {
         // Treats the request as bodyless; the connection is closed after the 413 response.
         no_more_requests_ = true;
+        receiving_->last_of_caller_ = false;
         return true;
     }
     const auto* expect = find_header(it.headers, "Expect");
@@ -136,6 +137,7 @@
     }
     if (receiving_->body.size() + n > options_.limits.body_bytes) {
         no_more_requests_ = true;
+        receiving_->last_of_caller_ = false;
         receiving_->head.keep_alive = false;
         receiving_->started_ = true;
         receiving_->respond(body_too_large, {}, "body too large\n");
--- a/src/plugins/entry/caller_exchange.hpp
+++ b/src/plugins/entry/caller_exchange.hpp
@@ -67,7 +67,7 @@
     /// The end of the response does not depend on the end of the connection.
     bool framed_{};
     bool close_after_{};
-    /// The caller said that it sends nothing after this request.
+    /// The caller sends nothing after this request.
     bool last_of_caller_{};
 };
 
--- a/tests/auto/entry/entry_stop_test.cpp
+++ b/tests/auto/entry/entry_stop_test.cpp
@@ -3,6 +3,8 @@
 
 #include "quincewing/entry/entry_host.hpp"
 
+#include <algorithm>
+#include <cstddef>
 #include <doctest/doctest.h>
 #include <functional>
 #include <memory>
@@ -79,11 +81,20 @@
                  .route_timeout = seconds{30},
                  .grace = seconds{2}}};
     std::vector<raw_caller*> all;
+    std::ptrdiff_t refused_early = 0;
+    // 1.3 s after the stop: after the half of the grace period, before its end.
+    timer look{it.loop(), [&] {
+                   refused_early = std::count_if(all.begin(), all.end(), [](const auto* caller) {
+                       return caller->statuses() == "503";
+                   });
+               }};
     it.run([&] {
         for (int i = 0; i < callers; ++i) {
             all.push_back(&it.add_caller(post_request("r" + std::to_string(i))));
         }
+        look.once(millis{1500});
     });
+    CHECK(refused_early == callers - 1);
     const auto& executed = it.deployment().executed;
     CHECK(executed.size() == 1);
     for (int i = 0; i < callers; ++i) {
@@ -171,3 +182,19 @@
     CHECK(caller->statuses() == "200");
     CHECK(caller->received().size() > answer_bytes);
 }
+
+// Guards against a rejection that is lost with the connection, since the caller had announced that
+// it sends no further request.
+TEST_CASE("entry stop: an oversized body of a caller's last request is not reset")
+{
+    stop_run it{{.service_time = millis{30}}};
+    raw_caller* caller = nullptr;
+    it.run([&] {
+        caller = &it.add_caller(
+            "POST /x HTTP/1.1\r\nHost: desk.example\r\nX-Request: a\r\nConnection: close\r\n"
+            "Content-Length: 900000000\r\n\r\n" +
+            std::string(1'000'000, '.'));
+    });
+    CHECK(caller->statuses() == "413");
+    CHECK_FALSE(caller->broken());
+}
