Names of the stop's steps say what they do

refuse_unsent for the step and the call that were start_none and start_no_requests; the log line of an unfinished request finds its stage in a function of its own. No change of behaviour.

--- a/include/quincewing/deployment/entry_stop_schedule.hpp
+++ b/include/quincewing/deployment/entry_stop_schedule.hpp
@@ -10,7 +10,7 @@
     /// From here on it closes the connections of callers that are idle.
     duration close_idle{};
     /// From here on it starts no request: it refuses new ones and those that are not at a server.
-    duration start_none{};
+    duration refuse_unsent{};
     /// It answers what servers have not answered by then, and ends.
     duration answer_rest{};
 };
--- a/src/libs/deployment/entry_stop_schedule.cpp
+++ b/src/libs/deployment/entry_stop_schedule.cpp
@@ -21,10 +21,10 @@
 // started.
 entry_stop_schedule make_entry_stop_schedule(duration grace)
 {
-    const auto start_none =
+    const auto refuse_unsent =
         std::min<duration>(balancer_detection_time + late_arrival_time, grace / 2);
-    return {.close_idle = std::min<duration>(balancer_detection_time, start_none),
-            .start_none = start_none,
+    return {.close_idle = std::min<duration>(balancer_detection_time, refuse_unsent),
+            .refuse_unsent = refuse_unsent,
             .answer_rest = grace - std::min<duration>(flush_time, grace / last_part_of_grace)};
 }
 
--- a/src/plugins/entry/caller_listener.cpp
+++ b/src/plugins/entry/caller_listener.cpp
@@ -154,7 +154,7 @@
     closing_idle_ = true;
 }
 
-void caller_listener::start_no_requests()
+void caller_listener::refuse_unsent_requests()
 {
     if (refusing_) {
         return;
--- a/src/plugins/entry/caller_listener.hpp
+++ b/src/plugins/entry/caller_listener.hpp
@@ -31,8 +31,8 @@
     void close_idle_connections();
     /// Stops listening; refuses new requests on open connections, and those that are not at a
     /// server.
-    void start_no_requests();
-    [[nodiscard]] bool starts_requests() const { return !refusing_; }
+    void refuse_unsent_requests();
+    [[nodiscard]] bool may_start_requests() const { return !refusing_; }
     /// Answers all requests that are being handled, and logs them: the process is about to end.
     void answer_unfinished();
     /// No request is being handled and no connection is open.
--- a/src/plugins/entry/entry_host.cpp
+++ b/src/plugins/entry/entry_host.cpp
@@ -97,24 +97,20 @@
                          .on_configuration = [this] { on_view_change(); }}),
       coordination(context, peers, follower,
                    {.on_assignment_change = [this] { listener.on_view_change(); }}),
-      dispatch(context, peers),
-      connections(context), services{
-                                .dispatch = dispatch,
-                                .connections = connections,
-                                .host_count = [this] { return peers.connected_hosts().size() + 1; },
-                                .budget = [this](const service_id& it) -> shared_retry_budget& {
-                                    return budget(it);
-                                },
-                                .may_start_requests = [this] { return listener.starts_requests(); },
-                                .response_sizes = {},
-                                .record_request =
-                                    [this](const service_id& service, key_number key) {
-                                        coordination.record_request(service, key);
-                                    },
-                                .record_service_time =
-                                    [this](const server_id& server, duration took) {
-                                        coordination.record_service_time(server, took);
-                                    }},
+      dispatch(context, peers), connections(context),
+      services{
+          .dispatch = dispatch,
+          .connections = connections,
+          .host_count = [this] { return peers.connected_hosts().size() + 1; },
+          .budget = [this](const service_id& it) -> shared_retry_budget& { return budget(it); },
+          .may_start_requests = [this] { return listener.may_start_requests(); },
+          .response_sizes = {},
+          .record_request = [this](const service_id& service,
+                                   key_number key) { coordination.record_request(service, key); },
+          .record_service_time =
+              [this](const server_id& server, duration took) {
+                  coordination.record_service_time(server, took);
+              }},
       listener(context, services), announcer(context, peers),
       status(
           context, [this] { return ready(); },
@@ -200,10 +196,10 @@
     if (elapsed >= stop_steps.close_idle) {
         listener.close_idle_connections();
     }
-    if (elapsed < stop_steps.start_none) {
+    if (elapsed < stop_steps.refuse_unsent) {
         return;
     }
-    listener.start_no_requests();
+    listener.refuse_unsent_requests();
     const bool overdue = elapsed >= stop_steps.answer_rest;
     const bool done = listener.idle() && coordination.stopped() && record_removed;
     if ((done || overdue) && on_stopped) {
--- a/src/plugins/entry/request_flow.cpp
+++ b/src/plugins/entry/request_flow.cpp
@@ -116,11 +116,22 @@
     return stage_ == stage::waiting_for_owner || stage_ == stage::waiting_for_slot;
 }
 
+const char* request_flow::waits_for() const
+{
+    switch (stage_) {
+    case stage::waiting_for_owner:
+        return "owner";
+    case stage::waiting_for_slot:
+        return "slot";
+    default:
+        return "server";
+    }
+}
+
 void request_flow::log_unfinished() const
 {
-    const auto* at = waiting() ? stage_ == stage::waiting_for_owner ? "owner" : "slot" : "server";
     log_event("unfinished", {{"request", id_},
-                             {"waits_for", at},
+                             {"waits_for", waits_for()},
                              {"service", service_.value},
                              {"server", server_.id.value},
                              {"sends", sends_},
--- a/src/plugins/entry/request_flow.hpp
+++ b/src/plugins/entry/request_flow.hpp
@@ -50,6 +50,7 @@
         ended
     };
 
+    [[nodiscard]] const char* waits_for() const;
     void choose_service();
     void find_server();
     void request_slot(const server_id& required_server);
--- a/tests/auto/deployment/entry_stop_schedule_test.cpp
+++ b/tests/auto/deployment/entry_stop_schedule_test.cpp
@@ -9,14 +9,14 @@
 {
     const auto it = make_entry_stop_schedule(seconds{10});
     CHECK(it.close_idle > seconds{2});
-    CHECK(it.start_none > it.close_idle);
+    CHECK(it.refuse_unsent > it.close_idle);
 }
 
 // The platform counts what is sent later than 3 s after the signal against the host.
 TEST_CASE("entry stop schedule: no request is started later than 3 s after the signal")
 {
-    CHECK(make_entry_stop_schedule(seconds{6}).start_none < seconds{3});
-    CHECK(make_entry_stop_schedule(seconds{30}).start_none < seconds{3});
+    CHECK(make_entry_stop_schedule(seconds{6}).refuse_unsent < seconds{3});
+    CHECK(make_entry_stop_schedule(seconds{30}).refuse_unsent < seconds{3});
 }
 
 TEST_CASE("entry stop schedule: whatever the grace period, the steps come in order and within it")
@@ -25,9 +25,9 @@
         const duration grace = millis{*rc::gen::inRange(0, 60'000)};
         const auto it = make_entry_stop_schedule(grace);
         RC_ASSERT(duration{0} <= it.close_idle);
-        RC_ASSERT(it.close_idle <= it.start_none);
-        RC_ASSERT(it.start_none <= grace / 2);
-        RC_ASSERT(it.start_none <= it.answer_rest);
+        RC_ASSERT(it.close_idle <= it.refuse_unsent);
+        RC_ASSERT(it.refuse_unsent <= grace / 2);
+        RC_ASSERT(it.refuse_unsent <= it.answer_rest);
         // The platform's pages excuse only work that lasts into the last sixth.
         RC_ASSERT(it.answer_rest >= grace - grace / 6);
         RC_ASSERT(it.answer_rest <= grace);
