--- a/tests/auto/entry/entry_stop_test.cpp
+++ b/tests/auto/entry/entry_stop_test.cpp
@@ -32,7 +32,7 @@
     }
 
     /// Sends these bytes on a connection of its own before the stop.
-    raw_caller& add_caller(std::string bytes)
+    raw_caller& add_caller(const std::string& bytes)
     {
         callers_.push_back(std::make_unique<raw_caller>(loop_, deployment_.settings().callers));
         callers_.back()->send(bytes);
