--- a/include/quincewing/net/http_call.hpp
+++ b/include/quincewing/net/http_call.hpp
@@ -18,6 +18,7 @@
     /// "ip:port"
     std::string address;
     std::string path{"/"};
+    /// "Host" is the address unless it is given here.
     std::map<std::string, std::string> headers;
     std::string body;
     duration timeout{seconds{2}};
--- a/src/libs/net/http_call.cpp
+++ b/src/libs/net/http_call.cpp
@@ -73,7 +73,9 @@
     evhttp_connection_free_on_completion(connection);
     auto* it = evhttp_request_new(on_done, state.release());
     auto* headers = evhttp_request_get_output_headers(it);
-    evhttp_add_header(headers, "Host", request.address.c_str());
+    if (!request.headers.contains("Host")) {
+        evhttp_add_header(headers, "Host", request.address.c_str());
+    }
     evhttp_add_header(headers, "Connection", "close");
     for (const auto& [key, value] : request.headers) {
         evhttp_add_header(headers, key.c_str(), value.c_str());
