Entry host: a lost server's log line names the request's contents and caller

Cause: server_lost named the attempt only, whose id is new with each repeat of the caller, so that one request which ends many servers could not be told from many requests. Change: a hash of what repeats have in common (method, host, path and query, key, credentials, body), the caller's address and the time at the server. The product's own fingerprint is the same function. No decision uses it yet.

--- a/src/plugins/callers/request_reader.cpp
+++ b/src/plugins/callers/request_reader.cpp
@@ -1,6 +1,6 @@
 #include "request_reader.hpp"
 
-#include "quincewing/base/hash.hpp"
+#include "quincewing/admission/request_fingerprint.hpp"
 
 #include <algorithm>
 #include <array>
@@ -79,11 +79,6 @@
     return bulk ? request_class::bulk : request_class::read;
 }
 
-std::uint64_t fingerprint_of(const inbound_request& it)
-{
-    return stable_hash(it.body, stable_hash(it.target, stable_hash(it.method)));
-}
-
 } // namespace
 
 tl::expected<void, request_error> read_request(const host_settings& settings, instant now,
@@ -124,7 +119,7 @@
     }
     it.deadline = now + *deadline;
     it.klass = class_of(service, it);
-    it.fingerprint = fingerprint_of(it);
+    it.fingerprint = fingerprint_of({.method = it.method, .target = it.target, .body = it.body});
     return {};
 }
 
--- a/src/plugins/entry/caller_connection.cpp
+++ b/src/plugins/entry/caller_connection.cpp
@@ -27,7 +27,7 @@
 
 caller_connection::caller_connection(event_loop& loop, int fd, caller_connection_options options,
                                      caller_connection_hooks hooks)
-    : loop_(loop), options_(options), hooks_(std::move(hooks)),
+    : loop_(loop), options_(std::move(options)), hooks_(std::move(hooks)),
       bev_(bufferevent_socket_new(loop.base(), fd, BEV_OPT_CLOSE_ON_FREE)),
       reader_({.kind = message_kind::request,
                .max_head = static_cast<std::size_t>(options_.limits.head_bytes)},
@@ -112,7 +112,8 @@
 
 bool caller_connection::on_head(message_head& head)
 {
-    receiving_ = std::make_shared<caller_exchange>(*this, std::move(head), monotonic_now());
+    receiving_ =
+        std::make_shared<caller_exchange>(*this, options_.caller, std::move(head), monotonic_now());
     exchanges_.push_back(receiving_);
     const auto& it = receiving_->head;
     const bool too_large = it.length && *it.length > options_.limits.body_bytes;
@@ -170,7 +171,8 @@
     auto it = receiving_;
     receiving_ = nullptr;
     if (!it) {
-        it = std::make_shared<caller_exchange>(*this, message_head{}, monotonic_now());
+        it = std::make_shared<caller_exchange>(*this, options_.caller, message_head{},
+                                               monotonic_now());
         exchanges_.push_back(it);
     }
     it->head.keep_alive = false;
--- a/src/plugins/entry/caller_connection.hpp
+++ b/src/plugins/entry/caller_connection.hpp
@@ -11,6 +11,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <string>
 
 struct bufferevent;
 
@@ -18,6 +19,8 @@
 
 struct caller_connection_options
 {
+    /// The caller's IP address.
+    std::string caller;
     caller_limits limits;
     /// Bytes of responses that are buffered for a slow caller.
     std::size_t answer_buffer{};
--- a/src/plugins/entry/caller_exchange.cpp
+++ b/src/plugins/entry/caller_exchange.cpp
@@ -47,10 +47,10 @@
 
 } // namespace
 
-caller_exchange::caller_exchange(caller_connection& connection, message_head head_,
-                                 instant arrived_)
-    : head(std::move(head_)), arrived(arrived_), connection_(&connection), out_(evbuffer_new()),
-      last_of_caller_(!head.keep_alive)
+caller_exchange::caller_exchange(caller_connection& connection, std::string caller_,
+                                 message_head head_, instant arrived_)
+    : caller(std::move(caller_)), head(std::move(head_)), arrived(arrived_),
+      connection_(&connection), out_(evbuffer_new()), last_of_caller_(!head.keep_alive)
 {
 }
 
--- a/src/plugins/entry/caller_exchange.hpp
+++ b/src/plugins/entry/caller_exchange.hpp
@@ -21,11 +21,14 @@
 class caller_exchange
 {
 public:
-    caller_exchange(caller_connection& connection, message_head head, instant arrived);
+    caller_exchange(caller_connection& connection, std::string caller_, message_head head_,
+                    instant arrived_);
     ~caller_exchange();
     caller_exchange(const caller_exchange&) = delete;
     caller_exchange& operator=(const caller_exchange&) = delete;
 
+    /// The caller's IP address.
+    std::string caller;
     message_head head;
     std::string body;
     instant arrived;
--- a/src/plugins/entry/caller_listener.cpp
+++ b/src/plugins/entry/caller_listener.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <arpa/inet.h>
+#include <array>
 #include <event2/listener.h>
 #include <event2/util.h>
 
@@ -15,6 +16,14 @@
 // After this time without traffic a request is unlikely to be in flight on the connection.
 constexpr millis idle_before_close{300};
 
+std::string ip_text(const sockaddr& address)
+{
+    std::array<char, INET_ADDRSTRLEN> buf{};
+    const auto& ip = reinterpret_cast<const sockaddr_in&>(address).sin_addr;
+    const auto* text = inet_ntop(AF_INET, &ip, buf.data(), buf.size());
+    return text == nullptr ? "" : text;
+}
+
 } // namespace
 
 caller_listener::caller_listener(host_context context, flow_services& services)
@@ -40,8 +49,8 @@
     address.sin_family = AF_INET;
     address.sin_port = htons(at.port);
     inet_pton(AF_INET, at.ip.c_str(), &address.sin_addr);
-    const auto accept = [](evconnlistener*, evutil_socket_t fd, sockaddr*, int, void* arg) {
-        static_cast<caller_listener*>(arg)->on_accept(fd);
+    const auto accept = [](evconnlistener*, evutil_socket_t fd, sockaddr* from, int, void* arg) {
+        static_cast<caller_listener*>(arg)->on_accept(fd, ip_text(*from));
     };
     listener_ = evconnlistener_new_bind(context_.loop.base(), accept, this,
                                         LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, listen_backlog,
@@ -49,14 +58,15 @@
     return listener_ != nullptr;
 }
 
-void caller_listener::on_accept(int fd)
+void caller_listener::on_accept(int fd, std::string caller)
 {
     auto limits = context_.view.routes().current().limits;
     limits.body_bytes = std::min(limits.body_bytes, context_.settings.request_body);
     evutil_make_socket_nonblocking(fd);
     auto it = std::make_unique<caller_connection>(
         context_.loop, fd,
-        caller_connection_options{.limits = limits,
+        caller_connection_options{.caller = std::move(caller),
+                                  .limits = limits,
                                   .answer_buffer = context_.settings.answer_buffer},
         caller_connection_hooks{
             .on_request = [this](const auto& exchange) { on_request(exchange); },
--- a/src/plugins/entry/caller_listener.hpp
+++ b/src/plugins/entry/caller_listener.hpp
@@ -41,7 +41,8 @@
     [[nodiscard]] std::size_t connections() const { return connections_.size(); }
 
 private:
-    void on_accept(int fd);
+    /// caller: the IP address at the other end.
+    void on_accept(int fd, std::string caller);
     void on_request(const caller_exchange_ptr& exchange);
     [[nodiscard]] bool may_run_concurrently(const message_head& head) const;
     void remove_connection(caller_connection* it);
--- a/src/plugins/entry/request_flow.cpp
+++ b/src/plugins/entry/request_flow.cpp
@@ -1,5 +1,6 @@
 #include "request_flow.hpp"
 
+#include "quincewing/admission/request_fingerprint.hpp"
 #include "quincewing/logging/event_log.hpp"
 
 #include <algorithm>
@@ -78,6 +79,20 @@
     return host.substr(0, host.find(':'));
 }
 
+std::uint64_t fingerprint(const caller_exchange& it, const wire_names& names)
+{
+    const auto header = [&](const std::string& name) -> std::string_view {
+        const auto* out = find_header(it.head.headers, name);
+        return out == nullptr ? std::string_view{} : *out;
+    };
+    return fingerprint_of({.method = it.head.method,
+                           .target = it.head.target,
+                           .body = it.body,
+                           .host = header("Host"),
+                           .key = header(names.key),
+                           .credentials = header("Authorization")});
+}
+
 std::string seconds_text(duration it)
 {
     auto text = std::to_string(static_cast<double>(it.count()) / 1e6);
@@ -168,6 +183,7 @@
     const duration caller_timeout =
         header_ms ? duration{millis{*header_ms}} : duration{default_deadline};
     deadline_ = exchange_->arrived + std::min(caller_timeout, route_->route.timeout);
+    fingerprint_ = fingerprint(*exchange_, context_.platform.names);
     exchange_->on_disconnect = [this] { on_caller_disconnect(); };
     timer_.once(std::max<duration>(time_left() + response_grace, millis{1}));
     choose_service();
@@ -505,12 +521,16 @@
 {
     const auto self = shared_from_this();
     const bool sent = connection_ && connection_->sent();
-    report_.took = static_cast<std::uint64_t>((monotonic_now() - sent_at_).count());
+    const auto took = monotonic_now() - sent_at_;
+    report_.took = static_cast<std::uint64_t>(took.count());
     leave_server(attempt_outcome::connection_lost, false);
     log_event("server_lost", {{"request", id_},
                               {"server", server_.id.value},
                               {"how", to_string(how)},
-                              {"sent", sent ? "yes" : "no"}});
+                              {"sent", sent ? "yes" : "no"},
+                              {"contents", fingerprint_},
+                              {"caller", exchange_->caller},
+                              {"took", took}});
     if (exchange_->disconnected()) {
         finish(0, "caller_gone");
         return;
--- a/src/plugins/entry/request_flow.hpp
+++ b/src/plugins/entry/request_flow.hpp
@@ -88,6 +88,8 @@
     service_id service_;
     std::optional<key_number> key_;
     std::string id_;
+    /// Hash of what repeats of the request have in common with it.
+    std::uint64_t fingerprint_{};
     /// The caller's deadline or the end of the route's timeout, whichever is earlier.
     instant deadline_;
     stage stage_{stage::waiting_for_owner};
