All hosts refuse a request that has crashed three servers

Cause: on the platform's path a host forgot a request once it had answered it, so each repeat was a new request. In the product's own mode hosts refused it, but forgot it at a restart, never told a host that joined later, and an agent made later for a server knew nothing of it. Change: one crash guard a host for both kinds of host. A mark is a request's contents and the server's process that broke off under it. Findings are told to all hosts at once; a digest, told when a link is made, once a second to one host, and in the own mode with each heartbeat, makes hosts that differ exchange all marks. A mark is disproved when its process answers a later request or the request is answered, so that lost answers and innocent requests beside the crash are not refused. Three marks (two if nothing else was in flight) refuse the request for ten minutes: 503, or 502 if the attempt has run, and 429 in the own mode as before.

--- a/include/quincewing/admission/request_fingerprint.hpp
+++ b/include/quincewing/admission/request_fingerprint.hpp
@@ -13,8 +13,6 @@
     std::string_view target;
     std::string_view body;
     std::string_view host;
-    /// The key by which the request is assigned to a server.
-    std::string_view key;
     /// How the caller identifies itself.
     std::string_view credentials;
 };
--- a/include/quincewing/control/host_core.hpp
+++ b/include/quincewing/control/host_core.hpp
@@ -58,6 +58,8 @@
 {
 public:
     explicit host_core(host_options options);
+    host_core(const host_core&) = delete;
+    host_core& operator=(const host_core&) = delete;
 
     /// Records read from the log. started is when the read was sent; reached_tail tells that no
     /// record was left to read.
@@ -133,7 +135,7 @@
                                     effects& out);
     void write_snapshot(instant now, effects& out);
     void drop_idle_agents();
-    void broadcast_suspect_notices(instant now, effects& out);
+    void broadcast_crash_findings(instant now, effects& out);
 
     host_options options_;
     log_state state_;
@@ -148,6 +150,7 @@
     std::map<server_id, instant> unheard_since_;
     /// Entry host addresses listed by the platform.
     std::set<std::string> listed_addresses_;
+    /// Shared by the agents, so that one which takes a server over knows what the others know.
     crash_guard guard_;
     std::uint64_t command_number_{};
     std::uint64_t void_records_{};
--- a/include/quincewing/control/server_agent.hpp
+++ b/include/quincewing/control/server_agent.hpp
@@ -43,7 +43,9 @@
         std::function<bool(const server_id&)> server_usable;
     };
 
-    server_agent(server_id server, host_id self, agent_options options, hooks callbacks);
+    /// guard: shared by all agents of the host.
+    server_agent(server_id server, host_id self, agent_options options, hooks callbacks,
+                 crash_guard& guard);
 
     void on_log(instant now, const log_state& log, effects& out);
     void on_heartbeat(instant now, const host_id& from, const pair_heartbeat& beat, effects& out);
@@ -84,10 +86,6 @@
     [[nodiscard]] const std::map<shard_id, held_shard>& shards() const { return held_; }
     [[nodiscard]] std::size_t open_requests() const { return requests_.size(); }
     [[nodiscard]] bool server_lost() const { return lost_since_.has_value(); }
-    crash_guard& guard() { return guard_; }
-    /// Requests that were in flight when the server crashed, to be sent to the other hosts. The
-    /// call empties the list.
-    std::vector<suspect_notice> take_suspect_notices();
 
 private:
     enum class request_stage : std::uint8_t
@@ -200,8 +198,7 @@
     pair_member pair_;
     ledger ledger_;
     server_queue queue_;
-    crash_guard guard_;
-    std::vector<suspect_notice> suspect_notices_;
+    crash_guard& guard_;
     std::optional<instant> crash_reported_at_;
     instant fresh_as_of_{};
 
--- a/include/quincewing/wire/messages.hpp
+++ b/include/quincewing/wire/messages.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "quincewing/admission/crash_mark.hpp"
 #include "quincewing/assignment/table_change.hpp"
 #include "quincewing/deployment/server_changes.hpp"
 #include "quincewing/dispatch/dispatch_request.hpp"
@@ -185,6 +186,8 @@
     std::uint64_t applied{};
     /// This host stops soon and is no candidate for anything.
     bool leaving{};
+    /// Digest of the crash marks that the sender knows.
+    std::uint64_t crash_digest{};
 
     template <class F>
     void each_field(F&& f)
@@ -192,6 +195,7 @@
         f(data_centre);
         f(applied);
         f(leaving);
+        f(crash_digest);
     }
 };
 
@@ -218,21 +222,6 @@
     }
 };
 
-/// A request that was in flight when a server crashed, or is refused for a time.
-struct suspect_notice
-{
-    std::uint64_t fingerprint{};
-    /// Microseconds of quarantine left; 0 for a mere suspect.
-    std::uint64_t quarantine_left{};
-
-    template <class F>
-    void each_field(F&& f)
-    {
-        f(fingerprint);
-        f(quarantine_left);
-    }
-};
-
 /// Coordinator to all: what it knows, by version. Sent a few times a second.
 struct coordinator_beat
 {
@@ -248,7 +237,6 @@
     std::uint64_t table_age{};
     std::uint64_t servers_age{};
     std::uint64_t configuration_age{};
-
     template <class F>
     void each_field(F&& f)
     {
@@ -476,10 +464,10 @@
 
 using message =
     std::variant<pair_heartbeat, pair_ack, ledger_update, release_request, shard_release,
-                 release_taken, leader_hint, heartbeat, state_request, state_reply, suspect_notice,
+                 release_taken, leader_hint, heartbeat, state_request, state_reply, crash_report,
                  late_answer, shard_hint, coordinator_beat, news_request, coordinator_news,
                  load_report, place_request, place_queued, place_given, place_refused, place_done,
-                 host_leaving, place_declined, place_check, place_check_result>;
+                 host_leaving, place_declined, place_check, place_check_result, crash_digest>;
 
 /// A message between two entry hosts; dropped unless it is for this very process.
 struct envelope
--- a/src/libs/admission/crash_guard.cpp
+++ b/src/libs/admission/crash_guard.cpp
@@ -1,82 +1,254 @@
 #include "quincewing/admission/crash_guard.hpp"
 
+#include "quincewing/base/hash.hpp"
+
 #include <algorithm>
+#include <array>
+#include <cstring>
 
 namespace quincewing {
 
-std::vector<std::uint64_t> crash_guard::on_crash(instant now,
-                                                 const std::vector<std::uint64_t>& in_flight)
-{
-    std::vector<std::uint64_t> out;
-    const bool alone = in_flight.size() == 1;
-    evict(now);
-    for (const auto fingerprint : in_flight) {
-        const bool known = status(now, fingerprint) != crash_status::clear;
-        auto& it = entries_[fingerprint];
-        it.suspect_until = now + options_.suspect_duration;
-        if (alone && known) {
-            it.quarantined_until = now + options_.quarantine_duration;
-            out.push_back(fingerprint);
-        }
+namespace {
+
+std::uint64_t to_micros(duration it)
+{
+    return static_cast<std::uint64_t>(std::max<duration::rep>(it.count(), 0));
+}
+
+std::uint64_t hash_of(const std::array<std::uint64_t, 2>& values)
+{
+    std::array<char, sizeof values> buf{};
+    std::memcpy(buf.data(), values.data(), buf.size());
+    return stable_hash({buf.data(), buf.size()});
+}
+
+} // namespace
+
+// ---- findings
+
+void crash_guard::on_crash(instant now, std::uint64_t fingerprint, server_process process,
+                           bool alone)
+{
+    if (add(now, fingerprint, {.process = process, .alone = alone, .at = now})) {
+        findings_.push_back({.fingerprint = fingerprint, .process = process, .alone = alone});
     }
-    return out;
 }
 
-void crash_guard::on_success(std::uint64_t fingerprint)
+void crash_guard::on_answer(instant now, std::uint64_t fingerprint)
+{
+    const auto found = requests_.find(fingerprint);
+    if (found == requests_.end() || status(now, fingerprint) != crash_status::suspect) {
+        return;
+    }
+    for (auto& it : found->second) {
+        disprove(now, fingerprint, it);
+    }
+    index_processes();
+}
+
+// A process that crashed never answers again: what broke was only its connection.
+void crash_guard::on_sign_of_life(instant now, server_process process, instant sent_at)
 {
-    const auto found = entries_.find(fingerprint);
-    if (found != entries_.end() && !found->second.quarantined_until) {
-        entries_.erase(found);
+    const auto found = suspected_processes_.find(process);
+    if (found == suspected_processes_.end() || sent_at <= found->second) {
+        return;
     }
+    for (auto& [fingerprint, of] : requests_) {
+        for (auto& it : of) {
+            if (it.process == process) {
+                disprove(now, fingerprint, it);
+            }
+        }
+    }
+    index_processes();
 }
 
-void crash_guard::on_remote_notice(instant now, std::uint64_t fingerprint, duration quarantine_left)
+void crash_guard::disprove(instant now, std::uint64_t fingerprint, mark& it)
 {
-    evict(now);
-    auto& it = entries_[fingerprint];
-    it.suspect_until = std::max(it.suspect_until, now + options_.suspect_duration);
-    if (quarantine_left > duration{0}) {
-        const auto until = now + std::min(quarantine_left, options_.quarantine_duration);
-        it.quarantined_until = std::max(it.quarantined_until.value_or(until), until);
+    if (it.disproved) {
+        return;
     }
+    it.disproved = true;
+    findings_.push_back({.fingerprint = fingerprint,
+                         .process = it.process,
+                         .alone = it.alone,
+                         .disproved = true,
+                         .age = to_micros(now - it.at)});
+}
+
+// ---- what is known
+
+bool crash_guard::expired(instant now, const marks& of) const
+{
+    const bool suspected =
+        std::any_of(of.begin(), of.end(), [](const auto& it) { return !it.disproved; });
+    return of.back().at + (suspected ? options_.memory : options_.disproved_memory) <= now;
 }
 
 crash_status crash_guard::status(instant now, std::uint64_t fingerprint) const
 {
-    const auto found = entries_.find(fingerprint);
-    if (found == entries_.end()) {
+    const auto found = requests_.find(fingerprint);
+    if (found == requests_.end() || expired(now, found->second)) {
         return crash_status::clear;
     }
-    if (quarantine_left(now, fingerprint) > duration{0}) {
+    std::size_t crashes = 0;
+    bool last_alone = false;
+    for (const auto& it : found->second) {
+        if (!it.disproved) {
+            ++crashes;
+            last_alone = it.alone;
+        }
+    }
+    if (crashes >= options_.crashes_to_quarantine ||
+        (last_alone && crashes >= options_.crashes_alone_to_quarantine)) {
         return crash_status::quarantined;
     }
-    return now < found->second.suspect_until ? crash_status::suspect : crash_status::clear;
+    return crashes > 0 ? crash_status::suspect : crash_status::clear;
 }
 
 duration crash_guard::quarantine_left(instant now, std::uint64_t fingerprint) const
 {
-    const auto found = entries_.find(fingerprint);
-    if (found == entries_.end() || !found->second.quarantined_until) {
+    if (status(now, fingerprint) != crash_status::quarantined) {
         return duration{0};
     }
-    return std::max(*found->second.quarantined_until - now, duration{0});
+    return requests_.at(fingerprint).back().at + options_.memory - now;
 }
 
-void crash_guard::evict(instant now)
+bool crash_guard::add(instant now, std::uint64_t fingerprint, const mark& it)
 {
-    if (entries_.size() < options_.max_entries) {
-        return;
+    auto found = requests_.find(fingerprint);
+    if (found == requests_.end() || expired(now, found->second)) {
+        make_room(now);
+        found = requests_.try_emplace(fingerprint).first;
+    }
+    auto& of = found->second;
+    const auto known =
+        std::find_if(of.begin(), of.end(), [&](const auto& m) { return m.process == it.process; });
+    if (known != of.end()) {
+        const bool is_new = it.disproved && !known->disproved;
+        known->disproved = known->disproved || it.disproved;
+        return is_new;
+    }
+    if (of.size() >= options_.max_marks_per_request) {
+        return false;
     }
-    std::erase_if(entries_, [now](const auto& it) {
-        return it.second.suspect_until <= now && it.second.quarantined_until.value_or(now) <= now;
-    });
-    while (entries_.size() >= options_.max_entries) {
-        const auto oldest =
-            std::min_element(entries_.begin(), entries_.end(), [](const auto& a, const auto& b) {
-                return a.second.suspect_until < b.second.suspect_until;
-            });
-        entries_.erase(oldest);
+    const auto after =
+        std::find_if(of.begin(), of.end(), [&](const auto& m) { return m.at > it.at; });
+    of.insert(after, it);
+    if (!it.disproved) {
+        auto& last = suspected_processes_[it.process];
+        last = std::max(last, it.at);
+    }
+    return true;
+}
+
+void crash_guard::make_room(instant now)
+{
+    const auto removed =
+        std::erase_if(requests_, [&](const auto& entry) { return expired(now, entry.second); });
+    bool too_many = false;
+    while (requests_.size() >= options_.max_requests) {
+        too_many = true;
+        requests_.erase(
+            std::min_element(requests_.begin(), requests_.end(), [](const auto& a, const auto& b) {
+                return a.second.back().at < b.second.back().at;
+            }));
     }
+    if (removed > 0 || too_many) {
+        index_processes();
+    }
+}
+
+void crash_guard::index_processes()
+{
+    suspected_processes_.clear();
+    for (const auto& [fingerprint, of] : requests_) {
+        for (const auto& it : of) {
+            if (!it.disproved) {
+                auto& last = suspected_processes_[it.process];
+                last = std::max(last, it.at);
+            }
+        }
+    }
+}
+
+// ---- exchange with other hosts
+
+std::optional<crash_report> crash_guard::take_findings()
+{
+    if (findings_.empty()) {
+        return {};
+    }
+    return crash_report{.marks = std::exchange(findings_, {})};
+}
+
+std::optional<crash_report> crash_guard::on_report(instant now, const crash_report& report)
+{
+    for (const auto& it : report.marks) {
+        const duration age{static_cast<duration::rep>(it.age)};
+        if (age < options_.memory) {
+            add(now, it.fingerprint,
+                {.process = it.process,
+                 .alone = it.alone,
+                 .disproved = it.disproved,
+                 .at = now - age});
+        }
+    }
+    index_processes();
+    if (!report.wants_all) {
+        return {};
+    }
+    return all(now, false);
+}
+
+std::uint64_t crash_guard::digest(instant now) const
+{
+    std::uint64_t out = 0;
+    for (const auto& [fingerprint, of] : requests_) {
+        if (expired(now, of)) {
+            continue;
+        }
+        for (const auto& it : of) {
+            if (!it.disproved && it.at + options_.digest_age <= now) {
+                out += hash_of({fingerprint, it.process.value});
+            }
+        }
+    }
+    return out;
+}
+
+// Hosts may differ for good, when more is to be remembered than there is room for. So the same two
+// digests make them exchange their marks again only rarely.
+std::optional<crash_report> crash_guard::on_digest(instant now, std::uint64_t told)
+{
+    const digest_pair both{told, digest(now)};
+    const auto interval =
+        last_exchange_ == both ? options_.unchanged_exchange_interval : options_.exchange_interval;
+    const bool due = !last_exchange_ || last_exchange_at_ + interval <= now;
+    if (both.first == both.second || !due) {
+        return {};
+    }
+    last_exchange_at_ = now;
+    last_exchange_ = both;
+    return all(now, true);
+}
+
+crash_report crash_guard::all(instant now, bool wants_all) const
+{
+    crash_report out{.wants_all = wants_all};
+    for (const auto& [fingerprint, of] : requests_) {
+        if (expired(now, of)) {
+            continue;
+        }
+        for (const auto& it : of) {
+            out.marks.push_back({.fingerprint = fingerprint,
+                                 .process = it.process,
+                                 .alone = it.alone,
+                                 .disproved = it.disproved,
+                                 .age = to_micros(now - it.at)});
+        }
+    }
+    return out;
 }
 
 } // namespace quincewing
--- a/src/libs/admission/request_fingerprint.cpp
+++ b/src/libs/admission/request_fingerprint.cpp
@@ -8,7 +8,7 @@
 {
     auto out = stable_hash(it.body, stable_hash(it.target, stable_hash(it.method)));
     std::uint64_t position = 0;
-    for (const auto part : {it.host, it.key, it.credentials}) {
+    for (const auto part : {it.host, it.credentials}) {
         ++position;
         if (!part.empty()) {
             out = stable_hash(part, out + position);
--- a/src/libs/control/host_core.cpp
+++ b/src/libs/control/host_core.cpp
@@ -60,7 +60,7 @@
         .leader_of = [this](const server_id& id) { return leader_of(id); },
         .next_command_number = [this] { return ++command_number_; },
         .server_usable = [this](const server_id& id) { return server_usable(id); }};
-    return agents_.try_emplace(server, server, options_.self, options, std::move(hooks))
+    return agents_.try_emplace(server, server, options_.self, options, std::move(hooks), guard_)
         .first->second;
 }
 
@@ -189,6 +189,9 @@
                 if (it.leaving) {
                     members_.on_leaving(from);
                 }
+                if (const auto report = guard_.on_digest(now, it.crash_digest)) {
+                    out.send(from, *report);
+                }
                 if (!known) {
                     out.add_change("peer", from.value, "heard");
                     next_announcement_ = now;
@@ -208,11 +211,9 @@
                     after_replay(now, out);
                 }
             },
-            [&](const suspect_notice& it) {
-                const auto left = std::chrono::microseconds{it.quarantine_left};
-                guard_.on_remote_notice(now, it.fingerprint, left);
-                for (auto& [server, agent] : agents_) {
-                    agent.guard().on_remote_notice(now, it.fingerprint, left);
+            [&](const crash_report& it) {
+                if (const auto reply = guard_.on_report(now, it)) {
+                    out.send(from, *reply);
                 }
             },
             // Messages between entry hosts on the platform, not sent to this kind of host.
@@ -342,10 +343,12 @@
         return;
     }
     next_heartbeat_ = now + options_.heartbeat_interval;
+    const auto digest = guard_.digest(now);
     for (const auto& [host, it] : members_.all()) {
         out.send(host, heartbeat{.data_centre = options_.data_centre,
                                  .applied = state_.applied_offset(),
-                                 .leaving = leaving_});
+                                 .leaving = leaving_,
+                                 .crash_digest = digest});
         if (!has_state() || !log_reachable(now)) {
             out.send(host, state_request{.applied = state_.applied_offset()});
         }
@@ -436,23 +439,20 @@
     });
 }
 
-void host_core::broadcast_suspect_notices(instant now, effects& out)
+void host_core::broadcast_crash_findings(instant now, effects& out)
 {
-    for (auto& [server, agent] : agents_) {
-        for (const auto& notice : agent.take_suspect_notices()) {
-            const auto left = std::chrono::microseconds{notice.quarantine_left};
-            guard_.on_remote_notice(now, notice.fingerprint, left);
-            if (left.count() > 0) {
-                out.add_change("quarantine", std::to_string(notice.fingerprint), server.value);
-            }
-            for (auto& [other, it] : agents_) {
-                it.guard().on_remote_notice(now, notice.fingerprint, left);
-            }
-            for (const auto& [host, it] : members_.all()) {
-                out.send(host, notice);
-            }
+    const auto report = guard_.take_findings();
+    if (!report) {
+        return;
+    }
+    for (const auto& it : report->marks) {
+        if (guard_.status(now, it.fingerprint) == crash_status::quarantined) {
+            out.add_change("quarantine", std::to_string(it.fingerprint));
         }
     }
+    for (const auto& [host, it] : members_.all()) {
+        out.send(host, *report);
+    }
 }
 
 void host_core::tick(instant now, effects& out)
@@ -479,7 +479,7 @@
     send_heartbeats(now, out);
     announce(now, out);
     write_snapshot(now, out);
-    broadcast_suspect_notices(now, out);
+    broadcast_crash_findings(now, out);
     drop_idle_agents();
 }
 
@@ -488,7 +488,7 @@
     for (auto& [server, agent] : agents_) {
         agent.flush(now, out);
     }
-    broadcast_suspect_notices(now, out);
+    broadcast_crash_findings(now, out);
 }
 
 void host_core::begin(instant now, const server_id& server, const request_meta& meta, effects& out)
--- a/src/libs/control/server_agent_pair.cpp
+++ b/src/libs/control/server_agent_pair.cpp
@@ -17,10 +17,11 @@
 
 } // namespace
 
-server_agent::server_agent(server_id server, host_id self, agent_options options, hooks callbacks)
+server_agent::server_agent(server_id server, host_id self, agent_options options, hooks callbacks,
+                           crash_guard& guard)
     : server_(std::move(server)), self_(std::move(self)), options_(options),
       hooks_(std::move(callbacks)), pair_(server_, self_, options.pair, options.faults_of_pair),
-      ledger_(options.ledger), queue_(options.queue)
+      ledger_(options.ledger), queue_(options.queue), guard_(guard)
 {
 }
 
--- a/src/libs/control/server_agent_requests.cpp
+++ b/src/libs/control/server_agent_requests.cpp
@@ -1,5 +1,6 @@
 #include "quincewing/control/server_agent.hpp"
 
+#include "quincewing/base/hash.hpp"
 #include "quincewing/base/invariant.hpp"
 
 #include <algorithm>
@@ -271,7 +272,7 @@
     if (result.server_crashed) {
         report_crash(now, it.meta.fingerprint);
     } else if (result.verdict == verdict::ran) {
-        guard_.on_success(it.meta.fingerprint);
+        guard_.on_answer(now, it.meta.fingerprint);
     }
     if (options_.faults.report_unknown_as_not_run && result.verdict == verdict::unknown) {
         out.answers.push_back({.id = id, .verdict = verdict::not_run});
@@ -391,21 +392,15 @@
             in_flight.push_back(it.meta.fingerprint);
         }
     }
-    guard_.on_crash(now, in_flight);
+    // A server keeps its id when it starts again, so the time tells its processes apart.
+    const auto time = static_cast<std::uint64_t>(now.time_since_epoch().count());
+    const server_process process{stable_hash(server_.value, stable_hash(self_.value, time))};
+    const bool alone = in_flight.size() == 1;
     for (const auto it : in_flight) {
-        const auto left = guard_.quarantine_left(now, it);
-        suspect_notices_.push_back(
-            {.fingerprint = it, .quarantine_left = static_cast<std::uint64_t>(left.count())});
+        guard_.on_crash(now, it, process, alone);
     }
 }
 
-std::vector<suspect_notice> server_agent::take_suspect_notices()
-{
-    auto out = std::move(suspect_notices_);
-    suspect_notices_.clear();
-    return out;
-}
-
 const char* to_string(refusal it)
 {
     switch (it) {
--- /dev/null
+++ b/src/plugins/entry/crash_exchange.hpp
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "quincewing/admission/crash_guard.hpp"
+#include "quincewing/entry/host_context.hpp"
+#include "quincewing/peers/peers_task.hpp"
+
+#include <random>
+
+namespace quincewing {
+
+/// Keeps this host's crash guard and those of the other hosts equal. Findings are told to all hosts
+/// at once. What a host missed, because it started later or was out of reach, it learns when a link
+/// is made, or from the digest that each host tells to another one from time to time.
+class crash_exchange
+{
+public:
+    crash_exchange(host_context context, peers_task& peers);
+
+    [[nodiscard]] crash_guard& guard() { return guard_; }
+
+    void on_host_connected(const host_id& host);
+    void tick(instant now);
+
+    void on_message(const host_id& from, const crash_digest& it);
+    void on_message(const host_id& from, const crash_report& it);
+
+private:
+    void tell_findings();
+    void tell_digest(const host_id& to, instant now);
+
+    host_context context_;
+    peers_task& peers_;
+    crash_guard guard_;
+    std::minstd_rand random_;
+    instant next_digest_{};
+};
+
+} // namespace quincewing
--- a/src/plugins/entry/entry_host.cpp
+++ b/src/plugins/entry/entry_host.cpp
@@ -2,6 +2,7 @@
 
 #include "caller_listener.hpp"
 #include "coordination_task.hpp"
+#include "crash_exchange.hpp"
 #include "dispatch_task.hpp"
 #include "host_announcer.hpp"
 #include "server_connections.hpp"
@@ -56,6 +57,7 @@
     store_follower follower;
     coordination_task coordination;
     dispatch_task dispatch;
+    crash_exchange crashes;
     server_connections connections;
     std::map<service_id, shared_retry_budget> budgets;
     flow_services services;
@@ -87,6 +89,7 @@
                      log_event("dependency",
                                {{"name", "host"}, {"host", host.value}, {"state", "regained"}});
                      coordination.on_host_connected(host);
+                     crashes.on_host_connected(host);
                  },
              .on_disconnected = [this](const host_id& host) { on_host_lost(host); },
              .on_visitor = [this](const host_id& host) { peers.connect_to({address_of(host)}); },
@@ -97,12 +100,13 @@
                          .on_configuration = [this] { on_view_change(); }}),
       coordination(context, peers, follower,
                    {.on_assignment_change = [this] { listener.on_view_change(); }}),
-      dispatch(context, peers), connections(context),
+      dispatch(context, peers), crashes(context, peers), connections(context),
       services{
           .dispatch = dispatch,
           .connections = connections,
           .host_count = [this] { return peers.connected_hosts().size() + 1; },
           .budget = [this](const service_id& it) -> shared_retry_budget& { return budget(it); },
+          .crashes = crashes.guard(),
           .may_start_requests = [this] { return listener.may_start_requests(); },
           .response_sizes = {},
           .record_request = [this](const service_id& service,
@@ -119,6 +123,8 @@
                   static_cast<double>(dispatch.waiting());
               metrics.gauge("quincewing_caller_connections") =
                   static_cast<double>(listener.connections());
+              metrics.gauge("quincewing_crash_suspects") =
+                  static_cast<double>(crashes.guard().size());
               metrics.gauge("quincewing_coordinating") = coordination.core().coordinating() ? 1 : 0;
               metrics.gauge("quincewing_log_lines_left_out") =
                   static_cast<double>(standard_log().left_out());
@@ -151,6 +157,8 @@
                 coordination.on_message(it.from, body);
             } else if constexpr (requires { dispatch.on_message(it.from, body); }) {
                 dispatch.on_message(it.from, body);
+            } else if constexpr (requires { crashes.on_message(it.from, body); }) {
+                crashes.on_message(it.from, body);
             } else if constexpr (std::is_same_v<body_type, host_leaving>) {
                 dispatch.on_host_leaving(it.from);
             }
@@ -179,6 +187,7 @@
     follower.tick(now);
     coordination.tick(now);
     dispatch.tick(now);
+    crashes.tick(now);
     connections.tick(now);
     listener.tick(now);
     if (now >= next_log_tick) {
--- a/src/plugins/entry/flow_services.hpp
+++ b/src/plugins/entry/flow_services.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "quincewing/admission/crash_guard.hpp"
 #include "quincewing/assignment/assignment_table.hpp"
 #include "quincewing/base/ids.hpp"
 #include "quincewing/dispatch/shared_retry_budget.hpp"
@@ -21,6 +22,8 @@
     std::function<std::size_t()> host_count;
     /// The retry budget of a service.
     std::function<shared_retry_budget&(const service_id&)> budget;
+    /// What the fleet knows of requests that crash servers.
+    crash_guard& crashes;
     /// False once the host is about to end: requests that are not at a server are refused.
     std::function<bool()> may_start_requests;
     /// Moving average of response body sizes in bytes, by route name.
--- a/src/plugins/entry/request_flow.cpp
+++ b/src/plugins/entry/request_flow.cpp
@@ -1,6 +1,7 @@
 #include "request_flow.hpp"
 
 #include "quincewing/admission/request_fingerprint.hpp"
+#include "quincewing/base/hash.hpp"
 #include "quincewing/logging/event_log.hpp"
 
 #include <algorithm>
@@ -79,9 +80,9 @@
     return host.substr(0, host.find(':'));
 }
 
-std::uint64_t fingerprint(const caller_exchange& it, const wire_names& names)
+std::uint64_t fingerprint(const caller_exchange& it)
 {
-    const auto header = [&](const std::string& name) -> std::string_view {
+    const auto header = [&](const char* name) -> std::string_view {
         const auto* out = find_header(it.head.headers, name);
         return out == nullptr ? std::string_view{} : *out;
     };
@@ -89,7 +90,6 @@
                            .target = it.head.target,
                            .body = it.body,
                            .host = header("Host"),
-                           .key = header(names.key),
                            .credentials = header("Authorization")});
 }
 
@@ -183,7 +183,10 @@
     const duration caller_timeout =
         header_ms ? duration{millis{*header_ms}} : duration{default_deadline};
     deadline_ = exchange_->arrived + std::min(caller_timeout, route_->route.timeout);
-    fingerprint_ = fingerprint(*exchange_, context_.platform.names);
+    fingerprint_ = fingerprint(*exchange_);
+    if (reject_if_quarantined()) {
+        return;
+    }
     exchange_->on_disconnect = [this] { on_caller_disconnect(); };
     timer_.once(std::max<duration>(time_left() + response_grace, millis{1}));
     choose_service();
@@ -305,6 +308,21 @@
     fail(bad_gateway, reason.c_str());
 }
 
+// Asked again before each send, since another host may have learned of it meanwhile.
+bool request_flow::reject_if_quarantined()
+{
+    const auto left = services_.crashes.quarantine_left(monotonic_now(), fingerprint_);
+    if (left <= duration{0}) {
+        return false;
+    }
+    if (verdict_ == verdict::not_run) {
+        refuse("quarantined", left);
+    } else {
+        fail(bad_gateway, "quarantined");
+    }
+    return true;
+}
+
 void request_flow::on_slot_granted(std::uint64_t number, const server_id& server)
 {
     slot_number_ = number;
@@ -315,6 +333,9 @@
     }
     const auto* found = context_.view.find_usable_server(server);
     const bool owns = !key_ || context_.view.owner_of(service_, *key_).server == server;
+    if (reject_if_quarantined()) {
+        return;
+    }
     if (found == nullptr || !owns) {
         services_.dispatch.release_slot(std::exchange(slot_number_, 0),
                                         {.outcome = attempt_outcome::unused});
@@ -388,6 +409,25 @@
     return now != nullptr && now->start == server_.start;
 }
 
+server_process request_flow::process() const
+{
+    return server_process{stable_hash(server_.id.value, server_.start.value)};
+}
+
+void request_flow::note_crash()
+{
+    const auto now = monotonic_now();
+    auto& crashes = services_.crashes;
+    // What else was in flight at the server is known to the other hosts only.
+    crashes.on_crash(now, fingerprint_, process(), false);
+    if (crashes.status(now, fingerprint_) == crash_status::quarantined) {
+        log_event("quarantine", {{"contents", fingerprint_},
+                                 {"request", id_},
+                                 {"server", server_.id.value},
+                                 {"caller", exchange_->caller}});
+    }
+}
+
 head_action request_flow::on_head(message_head& head)
 {
     const auto& names = context_.platform.names;
@@ -488,6 +528,12 @@
         const auto bytes = static_cast<double>(response_.length.value_or(buffered_body_.size()));
         size += response_size_weight * (bytes - size);
     }
+    if (outcome != attempt_outcome::rejected) {
+        services_.crashes.on_answer(now, fingerprint_);
+    }
+    if (response_.status != misdirected) {
+        services_.crashes.on_sign_of_life(now, process(), sent_at_);
+    }
     leave_server(outcome, reusable);
     if (exchange_->disconnected()) {
         finish(0, "caller_gone");
@@ -531,6 +577,9 @@
                               {"contents", fingerprint_},
                               {"caller", exchange_->caller},
                               {"took", took}});
+    if (sent && (how == connection_loss::closed || how == connection_loss::reset)) {
+        note_crash();
+    }
     if (exchange_->disconnected()) {
         finish(0, "caller_gone");
         return;
--- a/src/plugins/entry/request_flow.hpp
+++ b/src/plugins/entry/request_flow.hpp
@@ -55,10 +55,16 @@
     void find_server();
     void request_slot(const server_id& required_server);
     void on_slot_granted(std::uint64_t number, const server_id& server);
+    /// Rejects the request if it crashes servers.
+    [[nodiscard]] bool reject_if_quarantined();
     void on_slot_refused(duration retry_after, const std::string& reason);
     void send();
     [[nodiscard]] bool server_still_usable() const;
     [[nodiscard]] std::string server_request_head() const;
+    /// The chosen server's process.
+    [[nodiscard]] server_process process() const;
+    /// The connection broke after the request was sent: the request may have crashed the server.
+    void note_crash();
     head_action on_head(message_head& head);
     void on_body(const char* buf, std::size_t n);
     void on_end(bool reusable);
