A fleet's retries stay within its budget after quiet times, restarts and cuts

Cause: each host saved up to ten retries that its requests had earned, for ever, and spent them in one window; it had half of its part of the fixed number anew with each start; and it divided that number by the hosts it could reach, so that a host that lost sight of the others took their parts. Change: retries and requests are counted in one sliding window; the fixed number is left alone for the first window after a start, as what the process before it spent is not known; all hosts that were not forgotten share it, in reach or not.

--- a/include/quincewing/dispatch/shared_retry_budget.hpp
+++ b/include/quincewing/dispatch/shared_retry_budget.hpp
@@ -3,6 +3,8 @@
 #include "quincewing/base/time.hpp"
 
 #include <cstddef>
+#include <cstdint>
+#include <deque>
 
 namespace quincewing {
 
@@ -17,26 +19,41 @@
     double usable_share{0.7};
 };
 
-/// This host's part of the retry budget that all hosts share. Hosts do not coordinate: each may
-/// use the share that its own requests earn and an equal part of the fixed number.
+/// This host's part of the retry budget that all hosts share. Hosts do not coordinate: in each
+/// window, a host may use the share that its own requests of that window earn and an equal part of
+/// the fixed number.
 class shared_retry_budget
 {
 public:
-    explicit shared_retry_budget(shared_retry_budget_options options = {}) : options_(options) {}
+    /// started: when the process started. What an earlier process spent is not known, so that the
+    /// fixed number is left alone for a window.
+    explicit shared_retry_budget(shared_retry_budget_options options = {}, instant started = {})
+        : options_(options), started_(started)
+    {
+    }
 
     void on_request(instant now);
     /// Whether one more retry may be sent; if so, it is deducted from the budget.
+    /// hosts: all hosts of the fleet, whether or not they can be reached.
     bool try_spend(instant now, std::size_t hosts);
 
 private:
-    void refill(instant now, std::size_t hosts);
+    /// Requests of a fraction of the window.
+    struct request_count
+    {
+        std::int64_t slice{};
+        std::uint64_t requests{};
+    };
+
+    [[nodiscard]] std::int64_t slice_of(instant now) const;
+    void forget_old(instant now);
 
     shared_retry_budget_options options_;
-    /// Retries that requests earned.
-    double earned_{};
-    /// Retries left of the fixed number; negative before the first refill.
-    double extra_left_{-1};
-    instant refilled_at_{};
+    instant started_;
+    std::deque<request_count> counts_;
+    std::uint64_t requests_{};
+    /// When the retries of the last window were sent.
+    std::deque<instant> retries_;
 };
 
 } // namespace quincewing
--- a/include/quincewing/peers/peers_task.hpp
+++ b/include/quincewing/peers/peers_task.hpp
@@ -78,6 +78,8 @@
     [[nodiscard]] bool connected(const host_id& host) const;
     /// Hosts to which a link stands.
     [[nodiscard]] std::vector<host_id> connected_hosts() const;
+    /// Number of other hosts that were not forgotten, whether or not a link to them stands.
+    [[nodiscard]] std::size_t known_hosts() const { return links_.size(); }
     [[nodiscard]] const peers_counts& counts() const { return counts_; }
 
 private:
--- a/src/libs/dispatch/shared_retry_budget.cpp
+++ b/src/libs/dispatch/shared_retry_budget.cpp
@@ -6,50 +6,52 @@
 
 namespace {
 
-double to_seconds(duration value)
-{
-    return static_cast<double>(value.count()) / 1e6;
-}
+constexpr std::int64_t slices_per_window = 20;
 
 } // namespace
 
-// Retries are spent within about a window of the requests that earned them. Only a few can be
-// saved up, so that no burst of retries falls into a window with few requests.
-void shared_retry_budget::on_request(instant)
+std::int64_t shared_retry_budget::slice_of(instant now) const
 {
-    constexpr double max_earned = 10;
-    earned_ = std::min(max_earned, earned_ + options_.share * options_.usable_share);
+    return now.time_since_epoch() / (options_.window / slices_per_window);
 }
 
-void shared_retry_budget::refill(instant now, std::size_t hosts)
+void shared_retry_budget::on_request(instant now)
 {
-    const auto host_part = options_.extra * options_.usable_share /
-                           static_cast<double>(std::max<std::size_t>(hosts, 1));
-    if (extra_left_ < 0) {
-        extra_left_ = host_part / 2;
-        refilled_at_ = now;
-        return;
+    forget_old(now);
+    const auto slice = slice_of(now);
+    if (counts_.empty() || counts_.back().slice != slice) {
+        counts_.push_back({.slice = slice});
     }
-    // Half of the part may be spent at once, and half is refilled over a window: no window sees
-    // more than the whole part.
-    const auto refill_per_second = host_part / 2 / to_seconds(options_.window);
-    extra_left_ =
-        std::min(host_part / 2, extra_left_ + refill_per_second * to_seconds(now - refilled_at_));
-    refilled_at_ = now;
+    ++counts_.back().requests;
+    ++requests_;
 }
 
-bool shared_retry_budget::try_spend(instant now, std::size_t hosts)
+// The first slice is left out, since a part of it is older than the window.
+void shared_retry_budget::forget_old(instant now)
 {
-    refill(now, hosts);
-    if (earned_ >= 1) {
-        earned_ -= 1;
-        return true;
+    const auto oldest = slice_of(now) - slices_per_window + 1;
+    while (!counts_.empty() && counts_.front().slice < oldest) {
+        requests_ -= counts_.front().requests;
+        counts_.pop_front();
+    }
+    while (!retries_.empty() && retries_.front() <= now - options_.window) {
+        retries_.pop_front();
     }
-    if (extra_left_ >= 1) {
-        extra_left_ -= 1;
-        return true;
+}
+
+bool shared_retry_budget::try_spend(instant now, std::size_t hosts)
+{
+    forget_old(now);
+    const bool has_fixed_part = now - started_ >= options_.window;
+    const auto fixed_part =
+        has_fixed_part ? options_.extra / static_cast<double>(std::max<std::size_t>(hosts, 1)) : 0;
+    const auto earned = options_.share * static_cast<double>(requests_);
+    const auto allowed = options_.usable_share * (earned + fixed_part);
+    if (static_cast<double>(retries_.size() + 1) > allowed) {
+        return false;
     }
-    return false;
+    retries_.push_back(now);
+    return true;
 }
 
 } // namespace quincewing
--- a/src/plugins/entry/entry_host.cpp
+++ b/src/plugins/entry/entry_host.cpp
@@ -65,6 +65,7 @@
     host_announcer announcer;
     status_server status;
     timer tick_timer;
+    instant started{monotonic_now()};
     instant next_log_tick{};
     instant stop_started_at{};
     entry_stop_schedule stop_steps;
@@ -104,7 +105,7 @@
       services{
           .dispatch = dispatch,
           .connections = connections,
-          .host_count = [this] { return peers.connected_hosts().size() + 1; },
+          .host_count = [this] { return peers.known_hosts() + 1; },
           .budget = [this](const service_id& it) -> shared_retry_budget& { return budget(it); },
           .crashes = crashes.guard(),
           .may_start_requests = [this] { return listener.may_start_requests(); },
@@ -138,7 +139,7 @@
     const shared_retry_budget_options options{.share = settings.bounds.repeat_share,
                                               .extra = settings.bounds.repeat_extra,
                                               .window = settings.bounds.repeat_window};
-    return budgets.try_emplace(service, options).first->second;
+    return budgets.try_emplace(service, options, started).first->second;
 }
 
 bool entry_host::tasks::ready() const
--- a/src/plugins/entry/flow_services.hpp
+++ b/src/plugins/entry/flow_services.hpp
@@ -18,7 +18,7 @@
 {
     dispatch_task& dispatch;
     server_connections& connections;
-    /// Number of entry hosts that this host knows of, itself included.
+    /// Number of entry hosts that this host knows of, itself and those out of reach included.
     std::function<std::size_t()> host_count;
     /// The retry budget of a service.
     std::function<shared_retry_budget&(const service_id&)> budget;
--- a/tests/auto/dispatch/shared_retry_budget_test.cpp
+++ b/tests/auto/dispatch/shared_retry_budget_test.cpp
@@ -21,7 +21,10 @@
 class budget_fleet
 {
 public:
-    explicit budget_fleet(std::size_t hosts) : budgets_(hosts, shared_retry_budget{options()}) {}
+    budget_fleet(instant now, std::size_t hosts)
+        : budgets_(hosts, shared_retry_budget{options(), now})
+    {
+    }
 
     void request(instant now, std::size_t host)
     {
@@ -37,7 +40,10 @@
         check(now);
     }
 
-    void restart(std::size_t host) { budgets_[host] = shared_retry_budget{options()}; }
+    void restart(instant now, std::size_t host)
+    {
+        budgets_[host] = shared_retry_budget{options(), now};
+    }
 
     /// The most retries in a window beyond what its requests, or those of the window before,
     /// allow.
@@ -99,8 +105,8 @@
 double play(const load_plan& plan)
 {
     std::minstd_rand random{static_cast<std::uint32_t>(testing::options().seed)};
-    budget_fleet fleet{plan.hosts};
     const instant start{seconds{100}};
+    budget_fleet fleet{start, plan.hosts};
     const auto chance = [&](duration period, duration step) {
         return std::bernoulli_distribution{std::min(
             1.0, static_cast<double>(step.count()) / static_cast<double>(period.count()))}(random);
@@ -115,7 +121,7 @@
             fleet.retry(now, host, plan.hosts);
         }
         if (plan.restart_period > duration{0} && chance(plan.restart_period, step)) {
-            fleet.restart(host);
+            fleet.restart(now, host);
         }
     }
     std::cout << "  " << fleet.retries() << " retries, " << fleet.worst_excess()
