A keyed request runs at no more servers than its route allows

Cause: a keyed, idempotent request was sent up to three times whatever its route allowed, each time to the owner that its key had by then, so that it could run at three servers of a route that allows one or two. Change: the servers where it may have run are counted apart from those it was sent to; a further server is not used beyond the route's number, a server where it may have run already is. The rule stands in send_history, out of request_flow.

--- a/src/plugins/entry/request_flow.cpp
+++ b/src/plugins/entry/request_flow.cpp
@@ -149,7 +149,7 @@
                              {"waits_for", waits_for()},
                              {"service", service_.value},
                              {"server", server_.id.value},
-                             {"sends", sends_},
+                             {"sends", history_.sends()},
                              {"verdict", to_string(verdict_)},
                              {"answer_begun", exchange_->begun() ? "yes" : "no"},
                              {"took", monotonic_now() - exchange_->arrived},
@@ -198,6 +198,7 @@
     const auto& shares = route_->route.shares;
     service_ = shares[shares.size() == 1 ? 0 : route_->split.next()].service;
     services_.budget(service_).on_request(monotonic_now());
+    history_.set_limits(route_->route.max_servers, context_.view.keyed(service_));
     if (!context_.view.keyed(service_)) {
         return;
     }
@@ -244,7 +245,7 @@
     dispatch_request request{
         .service = service_,
         .required_server = required_server,
-        .excluded_servers = {tried_.begin(), tried_.end()},
+        .excluded_servers = {history_.tried().begin(), history_.tried().end()},
         .data_centre = data_centre_id{context_.settings.data_centre},
         .priority = route_->route.priority,
         .traffic_class = traffic_class_of(route_->route),
@@ -346,6 +347,10 @@
         find_server();
         return;
     }
+    if (!history_.may_run_at(server)) {
+        fail(bad_gateway, "servers_used_up");
+        return;
+    }
     server_ = *found;
     send();
 }
@@ -382,8 +387,7 @@
 void request_flow::send()
 {
     stage_ = stage::at_server;
-    ++sends_;
-    tried_.insert(server_.id);
+    history_.on_send(server_.id);
     sent_at_ = monotonic_now();
     response_ = {};
     buffered_body_.clear();
@@ -394,13 +398,19 @@
     timer_.once(std::max<duration>(time_left() + response_grace, millis{1}));
     connection_->send(server_request_head(), exchange_->body, exchange_->head.method != "HEAD",
                       {.may_send = [this] { return server_still_usable(); },
-                       .on_sent = [this] { verdict_ = verdict::unknown; },
+                       .on_sent = [this] { on_sent(); },
                        .on_head = [this](message_head& head) { return on_head(head); },
                        .on_body = [this](const char* buf, std::size_t n) { on_body(buf, n); },
                        .on_end = [this](bool reusable) { on_end(reusable); },
                        .on_lost = [this](connection_loss how) { on_lost(how); }});
 }
 
+void request_flow::on_sent()
+{
+    verdict_ = verdict::unknown;
+    history_.on_sent(server_.id);
+}
+
 // While the connection was being established, the server may have announced that it stops, or
 // been replaced by a new process.
 bool request_flow::server_still_usable() const
@@ -541,8 +551,9 @@
     }
     if (outcome == attempt_outcome::rejected) {
         verdict_ = verdict::not_run;
+        history_.on_not_run(server_.id);
         if (response_.status == misdirected && key_ && ++owner_misses_ <= max_owner_misses) {
-            tried_.erase(server_.id);
+            history_.forget(server_.id);
         }
         retry("turned_away", true);
         return;
@@ -617,10 +628,9 @@
 
 bool request_flow::may_retry_failed_response() const
 {
-    const bool servers_left = tried_.size() < route_->route.max_servers;
     const bool in_time = time_left() > millis{20};
-    return idempotent() && servers_left && in_time && !exchange_->disconnected() && !key_ &&
-           services_.may_start_requests();
+    return idempotent() && history_.servers_left() && in_time && !exchange_->disconnected() &&
+           !key_ && services_.may_start_requests();
 }
 
 void request_flow::retry(const char* why, bool uses_budget)
@@ -629,8 +639,7 @@
         refuse_unsent();
         return;
     }
-    const bool attempts_left =
-        tried_.size() < route_->route.max_servers || (key_ && sends_ < 3) || sends_ == 0;
+    const bool attempts_left = history_.may_send_again();
     const bool in_time = time_left() > millis{20};
     const bool within_budget = attempts_left && in_time &&
                                (!uses_budget || services_.budget(service_).try_spend(
@@ -638,7 +647,7 @@
     log_event("again", {{"request", id_},
                         {"server", server_.id.value},
                         {"why", why},
-                        {"sends", sends_},
+                        {"sends", history_.sends()},
                         {"left", time_left()},
                         {"allowed", attempts_left && in_time && within_budget ? "yes" : "no"}});
     if (!attempts_left || !in_time || !within_budget) {
@@ -756,7 +765,7 @@
                                                  {"service", service_.value},
                                                  {"version", version_.value},
                                                  {"server", server_.id.value},
-                                                 {"sends", sends_},
+                                                 {"sends", history_.sends()},
                                                  {"status", status},
                                                  {"reason", reason},
                                                  {"verdict", to_string(verdict_)},
--- a/src/plugins/entry/request_flow.hpp
+++ b/src/plugins/entry/request_flow.hpp
@@ -7,12 +7,12 @@
 
 #include "quincewing/base/verdict.hpp"
 #include "quincewing/deployment/owner_wait.hpp"
+#include "quincewing/dispatch/send_history.hpp"
 #include "quincewing/entry/host_context.hpp"
 #include "quincewing/routing/route_table.hpp"
 
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 
 namespace quincewing {
@@ -59,6 +59,7 @@
     [[nodiscard]] bool reject_if_quarantined();
     void on_slot_refused(duration retry_after, const std::string& reason);
     void send();
+    void on_sent();
     [[nodiscard]] bool server_still_usable() const;
     [[nodiscard]] std::string server_request_head() const;
     /// The chosen server's process.
@@ -103,8 +104,7 @@
     std::uint64_t slot_number_{};
     backend_server server_;
     std::unique_ptr<client_connection> connection_;
-    std::set<server_id> tried_;
-    int sends_{};
+    send_history history_;
     /// Times that the chosen server was not usable or did not own the key any more.
     int owner_misses_{};
     instant owner_wait_started_{};
