Quarantines outlast a moment at which all hosts restart

Cause: what hosts tell each other is in their memory only. Change: the coordinating host writes each quarantine to the store when it begins and removes it at its end; a host reads them once after its start, and when it begins to coordinate. The record has the time of day, as monotonic clocks say nothing across processes; a record from the future counts as new. Price: one append when a quarantine begins and one when it ends, one read a host and start.

--- a/include/quincewing/admission/crash_guard.hpp
+++ b/include/quincewing/admission/crash_guard.hpp
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <utility>
 #include <vector>
 
@@ -60,6 +61,10 @@
     /// Time until the quarantine ends; zero when there is none.
     [[nodiscard]] duration quarantine_left(instant now, std::uint64_t fingerprint) const;
 
+    /// Requests in quarantine.
+    [[nodiscard]] std::set<std::uint64_t> quarantined(instant now) const;
+    [[nodiscard]] std::vector<crash_mark> marks_of(instant now, std::uint64_t fingerprint) const;
+
     /// This host's findings since the last call, for all other hosts.
     [[nodiscard]] std::optional<crash_report> take_findings();
     /// Merges another host's report; returns the reply that it wants.
--- a/include/quincewing/deployment/store_api.hpp
+++ b/include/quincewing/deployment/store_api.hpp
@@ -21,7 +21,9 @@
     /// The coordinator, and the assignment of keys to servers.
     assignment,
     /// Addresses of the entry hosts.
-    hosts
+    hosts,
+    /// Requests that no host sends on, since they crash servers.
+    quarantines
 };
 
 const char* to_string(store_stream stream);
--- a/src/libs/admission/crash_guard.cpp
+++ b/src/libs/admission/crash_guard.cpp
@@ -114,6 +114,17 @@
     return requests_.at(fingerprint).back().at + options_.memory - now;
 }
 
+std::set<std::uint64_t> crash_guard::quarantined(instant now) const
+{
+    std::set<std::uint64_t> out;
+    for (const auto& [fingerprint, of] : requests_) {
+        if (status(now, fingerprint) == crash_status::quarantined) {
+            out.insert(fingerprint);
+        }
+    }
+    return out;
+}
+
 bool crash_guard::add(instant now, std::uint64_t fingerprint, const mark& it)
 {
     auto found = requests_.find(fingerprint);
@@ -237,16 +248,25 @@
 {
     crash_report out{.wants_all = wants_all};
     for (const auto& [fingerprint, of] : requests_) {
-        if (expired(now, of)) {
-            continue;
-        }
-        for (const auto& it : of) {
-            out.marks.push_back({.fingerprint = fingerprint,
-                                 .process = it.process,
-                                 .alone = it.alone,
-                                 .disproved = it.disproved,
-                                 .age = to_micros(now - it.at)});
-        }
+        const auto marks = marks_of(now, fingerprint);
+        out.marks.insert(out.marks.end(), marks.begin(), marks.end());
+    }
+    return out;
+}
+
+std::vector<crash_mark> crash_guard::marks_of(instant now, std::uint64_t fingerprint) const
+{
+    std::vector<crash_mark> out;
+    const auto found = requests_.find(fingerprint);
+    if (found == requests_.end() || expired(now, found->second)) {
+        return out;
+    }
+    for (const auto& it : found->second) {
+        out.push_back({.fingerprint = fingerprint,
+                       .process = it.process,
+                       .alone = it.alone,
+                       .disproved = it.disproved,
+                       .age = to_micros(now - it.at)});
     }
     return out;
 }
--- a/src/libs/deployment/store_api.cpp
+++ b/src/libs/deployment/store_api.cpp
@@ -13,6 +13,8 @@
         return "assignment";
     case store_stream::hosts:
         return "hosts";
+    case store_stream::quarantines:
+        return "quarantines";
     }
     return "";
 }
--- a/src/plugins/entry/crash_exchange.cpp
+++ b/src/plugins/entry/crash_exchange.cpp
@@ -1,6 +1,10 @@
 #include "crash_exchange.hpp"
 
 #include "quincewing/base/hash.hpp"
+#include "quincewing/logging/event_log.hpp"
+
+#include <charconv>
+#include <chrono>
 
 namespace quincewing {
 
@@ -8,6 +12,25 @@
 
 // One small message in each period, whatever the number of hosts.
 constexpr seconds digest_period{1};
+constexpr millis read_retry_pause{500};
+
+wall_time wall_now()
+{
+    return std::chrono::time_point_cast<seconds>(std::chrono::system_clock::now());
+}
+
+std::string key_of(std::uint64_t fingerprint)
+{
+    return std::to_string(fingerprint);
+}
+
+std::optional<std::uint64_t> fingerprint_of_key(const std::string& key)
+{
+    std::uint64_t out = 0;
+    const auto* end = key.data() + key.size();
+    const auto [rest, ec] = std::from_chars(key.data(), end, out);
+    return ec == std::errc{} && rest == end ? std::optional{out} : std::nullopt;
+}
 
 } // namespace
 
@@ -22,9 +45,13 @@
     tell_digest(host, monotonic_now());
 }
 
-void crash_exchange::tick(instant now)
+void crash_exchange::tick(instant now, bool coordinating)
 {
     tell_findings();
+    read_store(now, coordinating);
+    if (coordinating && read_done_) {
+        write_store(now);
+    }
     if (now < next_digest_) {
         return;
     }
@@ -70,4 +97,56 @@
     }
 }
 
+// ---- the store
+
+void crash_exchange::read_store(instant now, bool coordinating)
+{
+    if (coordinating && !was_coordinating_) {
+        read_done_ = false;
+    }
+    was_coordinating_ = coordinating;
+    if (read_done_ || read_pending_ || now < next_read_) {
+        return;
+    }
+    read_pending_ = true;
+    context_.platform.store.newest(store_stream::quarantines,
+                                   [this](const store_page& page) { on_read(page); });
+}
+
+void crash_exchange::on_read(const store_page& page)
+{
+    const auto now = monotonic_now();
+    read_pending_ = false;
+    if (page.status != store_status::ok) {
+        next_read_ = now + read_retry_pause;
+        return;
+    }
+    read_done_ = true;
+    for (const auto& it : page.records) {
+        const auto fingerprint = fingerprint_of_key(it.key);
+        if (!it.value || !fingerprint) {
+            continue;
+        }
+        const auto merged = stored_.on_record(now, wall_now(), *fingerprint, *it.value, guard_);
+        if (!merged) {
+            log_event("quarantine_unreadable", {{"key", it.key}, {"error", merged.error()}});
+        }
+    }
+}
+
+void crash_exchange::write_store(instant now)
+{
+    const auto change = stored_.next_change(now, wall_now(), guard_);
+    if (!change) {
+        return;
+    }
+    log_event("quarantine_stored",
+              {{"contents", change->fingerprint}, {"state", change->value ? "begun" : "ended"}});
+    context_.platform.store.append(
+        store_stream::quarantines, {.key = key_of(change->fingerprint), .value = change->value},
+        std::nullopt, [this](const store_append_result& result) {
+            stored_.on_changed(monotonic_now(), result.status == store_status::ok);
+        });
+}
+
 } // namespace quincewing
--- a/src/plugins/entry/crash_exchange.hpp
+++ b/src/plugins/entry/crash_exchange.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "quincewing/admission/crash_guard.hpp"
+#include "quincewing/admission/stored_quarantines.hpp"
 #include "quincewing/entry/host_context.hpp"
 #include "quincewing/peers/peers_task.hpp"
 
@@ -10,7 +11,8 @@
 
 /// Keeps this host's crash guard and those of the other hosts equal. Findings are told to all hosts
 /// at once. What a host missed, because it started later or was out of reach, it learns when a link
-/// is made, or from the digest that each host tells to another one from time to time.
+/// is made, or from the digest that each host tells to another one from time to time. What all
+/// hosts forget when they restart at once is in the store, where the coordinating host writes it.
 class crash_exchange
 {
 public:
@@ -19,7 +21,8 @@
     [[nodiscard]] crash_guard& guard() { return guard_; }
 
     void on_host_connected(const host_id& host);
-    void tick(instant now);
+    /// coordinating: this host is the one that writes to the store.
+    void tick(instant now, bool coordinating);
 
     void on_message(const host_id& from, const crash_digest& it);
     void on_message(const host_id& from, const crash_report& it);
@@ -27,12 +30,22 @@
 private:
     void tell_findings();
     void tell_digest(const host_id& to, instant now);
+    /// Reads what the store holds: once after the start, and whenever this host begins to
+    /// coordinate.
+    void read_store(instant now, bool coordinating);
+    void on_read(const store_page& page);
+    void write_store(instant now);
 
     host_context context_;
     peers_task& peers_;
     crash_guard guard_;
     std::minstd_rand random_;
     instant next_digest_{};
+    stored_quarantines stored_;
+    bool read_done_{};
+    bool read_pending_{};
+    instant next_read_{};
+    bool was_coordinating_{};
 };
 
 } // namespace quincewing
--- a/src/plugins/entry/entry_host.cpp
+++ b/src/plugins/entry/entry_host.cpp
@@ -188,7 +188,7 @@
     follower.tick(now);
     coordination.tick(now);
     dispatch.tick(now);
-    crashes.tick(now);
+    crashes.tick(now, coordination.core().coordinating());
     connections.tick(now);
     listener.tick(now);
     if (now >= next_log_tick) {
