Hosts that are out of reach for up to ten minutes are not forgotten

Cause: an address that nobody answered at for 60 s was forgotten. Hosts look for each other in the store only at their start, so that two sides of a data centre cut off for longer never met again: neither would learn which requests the other refuses, and each would take the other's part of the retry budget. Change: ten minutes, as long as a quarantine.

--- a/src/plugins/entry/entry_host.cpp
+++ b/src/plugins/entry/entry_host.cpp
@@ -23,7 +23,8 @@
 
 constexpr millis tick_period{50};
 constexpr seconds log_period{1};
-constexpr seconds forget_host_after{60};
+// Hosts that are out of reach for less keep their part of the retry budget, and are found again.
+constexpr seconds forget_host_after{600};
 
 host_id new_host_id(const std::string& address)
 {
