--- a/src/plugins/entry/crash_exchange.cpp
+++ b/src/plugins/entry/crash_exchange.cpp
@@ -118,6 +118,7 @@
     const auto now = monotonic_now();
     read_pending_ = false;
     if (page.status != store_status::ok) {
+        log_event("quarantines_unread", {{"status", to_string(page.status)}});
         next_read_ = now + read_retry_pause;
         return;
     }
@@ -145,7 +146,11 @@
     context_.platform.store.append(
         store_stream::quarantines, {.key = key_of(change->fingerprint), .value = change->value},
         std::nullopt, [this](const store_append_result& result) {
-            stored_.on_changed(monotonic_now(), result.status == store_status::ok);
+            const bool done = result.status == store_status::ok;
+            if (!done) {
+                log_event("quarantine_not_stored", {{"status", to_string(result.status)}});
+            }
+            stored_.on_changed(monotonic_now(), done);
         });
 }
 
