--- a/src/plugins/entry/crash_exchange.cpp
+++ b/src/plugins/entry/crash_exchange.cpp
@@ -141,17 +141,21 @@
     if (!change) {
         return;
     }
-    log_event("quarantine_stored",
-              {{"contents", change->fingerprint}, {"state", change->value ? "begun" : "ended"}});
     context_.platform.store.append(
         store_stream::quarantines, {.key = key_of(change->fingerprint), .value = change->value},
-        std::nullopt, [this](const store_append_result& result) {
-            const bool done = result.status == store_status::ok;
-            if (!done) {
-                log_event("quarantine_not_stored", {{"status", to_string(result.status)}});
-            }
-            stored_.on_changed(monotonic_now(), done);
+        std::nullopt, [this, change = *change](const store_append_result& result) {
+            on_written(change, result.status);
         });
 }
 
+void crash_exchange::on_written(const quarantine_change& it, store_status status)
+{
+    const bool done = status == store_status::ok;
+    log_event(done ? "quarantine_stored" : "quarantine_not_stored",
+              {{"contents", it.fingerprint},
+               {"state", it.value ? "begun" : "ended"},
+               {"status", to_string(status)}});
+    stored_.on_changed(monotonic_now(), done);
+}
+
 } // namespace quincewing
--- a/src/plugins/entry/crash_exchange.hpp
+++ b/src/plugins/entry/crash_exchange.hpp
@@ -35,6 +35,7 @@
     void read_store(instant now, bool coordinating);
     void on_read(const store_page& page);
     void write_store(instant now);
+    void on_written(const quarantine_change& it, store_status status);
 
     host_context context_;
     peers_task& peers_;
