Split request_flow: the send to a server, and the properties of a request, apart

Moved without changes: one send and its response to request_flow_server.cpp, the reading of headers to request_properties, the codes to http_status.hpp. The unit, entry host and stop tests pass as before.

--- a/src/plugins/entry/caller_connection.cpp
+++ b/src/plugins/entry/caller_connection.cpp
@@ -1,5 +1,7 @@
 #include "caller_connection.hpp"
 
+#include "http_status.hpp"
+
 #include "quincewing/net/reset_on_close.hpp"
 
 #include <algorithm>
@@ -13,10 +15,6 @@
 
 namespace {
 
-constexpr int bad_request = 400;
-constexpr int request_timeout = 408;
-constexpr int body_too_large = 413;
-constexpr int head_too_large = 431;
 // Bytes of pipelined requests that are read ahead. Reading goes on while requests are handled, so
 // that a disconnect is noticed.
 constexpr std::size_t max_read_ahead = 64UL * 1024;
@@ -88,10 +86,10 @@
             on_request_end();
             break;
         case read_result::head_too_long:
-            reject(head_too_large);
+            reject(http_status::head_too_large);
             return;
         case read_result::malformed:
-            reject(bad_request);
+            reject(http_status::bad_request);
             return;
         }
     }
@@ -141,7 +139,7 @@
         receiving_->last_of_caller_ = false;
         receiving_->head.keep_alive = false;
         receiving_->started_ = true;
-        receiving_->respond(body_too_large, {}, "body too large\n");
+        receiving_->respond(http_status::body_too_large, {}, "body too large\n");
         return;
     }
     receiving_->body.append(buf, n);
@@ -155,7 +153,7 @@
     if (no_more_requests_ && !it->started_) {
         it->head.keep_alive = false;
         it->started_ = true;
-        it->respond(body_too_large, {}, "body too large\n");
+        it->respond(http_status::body_too_large, {}, "body too large\n");
         return;
     }
     if (!it->head.keep_alive) {
@@ -339,7 +337,7 @@
     }
     if (reader_.inside_message() && !reader_.inside_body()) {
         if (exchanges_.empty() && now - head_started_ > options_.limits.head_timeout) {
-            reject(request_timeout);
+            reject(http_status::request_timeout);
         }
         return;
     }
--- a/src/plugins/entry/caller_listener.cpp
+++ b/src/plugins/entry/caller_listener.cpp
@@ -1,5 +1,7 @@
 #include "caller_listener.hpp"
 
+#include "request_properties.hpp"
+
 #include "quincewing/logging/event_log.hpp"
 #include "quincewing/net/endpoint.hpp"
 
@@ -93,7 +95,7 @@
     if (host == nullptr) {
         return false;
     }
-    const auto route = context_.view.routes().find(host->substr(0, host->find(':')),
+    const auto route = context_.view.routes().find(host_without_port(*host),
                                                    head.target.substr(0, head.target.find('?')));
     return route && route->route.retry == retry_policy::idempotent;
 }
--- a/src/plugins/entry/request_flow.hpp
+++ b/src/plugins/entry/request_flow.hpp
@@ -87,6 +87,11 @@
     [[nodiscard]] duration time_left() const;
     [[nodiscard]] const std::string& id() const { return id_; }
 
+    /// Added to the deadline, since a response that was sent just before it may be in flight.
+    static constexpr millis response_grace{80};
+    /// Times that a request is sent on to another owner of its key.
+    static constexpr int max_owner_misses = 3;
+
     host_context context_;
     flow_services& services_;
     caller_exchange_ptr exchange_;
--- /dev/null
+++ b/src/plugins/entry/request_flow_server.cpp
@@ -0,0 +1,344 @@
+#include "request_flow.hpp"
+
+#include "http_status.hpp"
+
+#include "quincewing/base/hash.hpp"
+#include "quincewing/logging/event_log.hpp"
+
+#include <algorithm>
+#include <cstdlib>
+#include <strings.h>
+#include <utility>
+
+/// request_flow: one send to a backend server and its response.
+namespace quincewing {
+
+namespace {
+
+// Weight of a new value in the moving average of response sizes.
+constexpr double response_size_weight = 0.1;
+
+// Parses the server's load header, "running,waiting,slots".
+void read_load(const std::string* text, attempt_report& to)
+{
+    if (text == nullptr) {
+        return;
+    }
+    char* rest = nullptr;
+    const auto running = std::strtol(text->c_str(), &rest, 10);
+    if (rest == nullptr || *rest != ',') {
+        return;
+    }
+    to.running = static_cast<std::int32_t>(running);
+    to.waiting = static_cast<std::int32_t>(std::strtol(rest + 1, nullptr, 10));
+}
+
+} // namespace
+
+std::string request_flow::server_request_head() const
+{
+    const auto& head = exchange_->head;
+    const auto& names = context_.platform.names;
+    const auto* connection = find_header(head.headers, "Connection");
+    std::string out = head.method + " " + head.target + " HTTP/1.1\r\n";
+    for (const auto& [name, value] : head.headers) {
+        const bool is_host = strcasecmp(name.c_str(), "Host") == 0;
+        const bool replaced = strcasecmp(name.c_str(), names.time_left.c_str()) == 0 ||
+                              strcasecmp(name.c_str(), names.target_server.c_str()) == 0;
+        const bool connection_option = connection != nullptr && has_token(*connection, name);
+        if (is_host || !(is_hop_by_hop_header(name) || replaced || connection_option)) {
+            out += name;
+            out += ": ";
+            out += value;
+            out += "\r\n";
+        }
+    }
+    const auto ms = std::max<duration::rep>(time_left() / millis{1}, 1);
+    out += names.time_left + ": " + std::to_string(ms) + "\r\n";
+    out += names.target_server + ": " + server_.id.value + "\r\n";
+    if (!exchange_->body.empty() || head.length || head.chunked) {
+        out += "Content-Length: " + std::to_string(exchange_->body.size()) + "\r\n";
+    }
+    return out + "\r\n";
+}
+
+void request_flow::send()
+{
+    stage_ = stage::at_server;
+    history_.on_send(server_.id);
+    sent_at_ = monotonic_now();
+    response_ = {};
+    buffered_body_.clear();
+    report_ = {};
+    const auto max_idle =
+        idempotent() ? duration{seconds{3600}} : context_.settings.fresh_connection;
+    connection_ = services_.connections.acquire(server_.address, max_idle);
+    timer_.once(std::max<duration>(time_left() + response_grace, millis{1}));
+    connection_->send(server_request_head(), exchange_->body, exchange_->head.method != "HEAD",
+                      {.may_send = [this] { return server_still_usable(); },
+                       .on_sent = [this] { on_sent(); },
+                       .on_head = [this](message_head& head) { return on_head(head); },
+                       .on_body = [this](const char* buf, std::size_t n) { on_body(buf, n); },
+                       .on_end = [this](bool reusable) { on_end(reusable); },
+                       .on_lost = [this](connection_loss how) { on_lost(how); }});
+}
+
+void request_flow::on_sent()
+{
+    verdict_ = verdict::unknown;
+    history_.on_sent(server_.id);
+}
+
+// While the connection was being established, the server may have announced that it stops, or
+// been replaced by a new process.
+bool request_flow::server_still_usable() const
+{
+    const auto* now = context_.view.find_usable_server(server_.id);
+    return now != nullptr && now->start == server_.start;
+}
+
+server_process request_flow::process() const
+{
+    return server_process{stable_hash(server_.id.value, server_.start.value)};
+}
+
+void request_flow::note_crash()
+{
+    const auto now = monotonic_now();
+    auto& crashes = services_.crashes;
+    // What else was in flight at the server is known to the other hosts only.
+    crashes.on_crash(now, fingerprint_, process(), false);
+    if (crashes.status(now, fingerprint_) == crash_status::quarantined) {
+        log_event("quarantine", {{"contents", fingerprint_},
+                                 {"request", id_},
+                                 {"server", server_.id.value},
+                                 {"caller", exchange_->caller}});
+    }
+}
+
+head_action request_flow::on_head(message_head& head)
+{
+    const auto& names = context_.platform.names;
+    const auto* echoed = find_header(head.headers, names.request_id);
+    // A server may respond twice to an earlier request; that response is not this request's.
+    if (!id_.empty() && echoed != nullptr && *echoed != id_) {
+        log_event("answer_of_another",
+                  {{"request", id_}, {"answer", *echoed}, {"server", server_.id.value}});
+        return head_action::skip;
+    }
+    response_ = std::move(head);
+    read_load(find_header(response_.headers, names.server_load), report_);
+    const bool marked_not_run = find_header(response_.headers, names.not_run) != nullptr;
+    if (marked_not_run || response_.status == http_status::misdirected) {
+        report_.outcome = attempt_outcome::rejected;
+        return head_action::accept;
+    }
+    report_.outcome = response_.status >= http_status::server_error ? attempt_outcome::failed
+                                                                    : attempt_outcome::answered;
+    const bool buffer_first =
+        idempotent() && (!response_.length || *response_.length <= context_.settings.held_answer);
+    const bool may_retry =
+        report_.outcome == attempt_outcome::failed && may_retry_failed_response();
+    if (!buffer_first && !may_retry) {
+        begin_response();
+    }
+    return head_action::accept;
+}
+
+void request_flow::begin_response()
+{
+    relaying_ = true;
+    header_list headers;
+    const auto& names = context_.platform.names;
+    const auto* connection = find_header(response_.headers, "Connection");
+    auto status = response_.status;
+    const bool implies_not_run = status == http_status::unavailable ||
+                                 status == http_status::too_many_requests ||
+                                 status == http_status::request_timeout;
+    // To callers these statuses mean that the request did not run, which the server did not state.
+    const bool replaced = implies_not_run && !idempotent();
+    if (replaced) {
+        status = http_status::bad_gateway;
+    }
+    for (const auto& [name, value] : response_.headers) {
+        const bool is_response_signature =
+            strcasecmp(name.c_str(), names.response_signature.c_str()) == 0;
+        const bool connection_option = connection != nullptr && has_token(*connection, name);
+        if (!is_hop_by_hop_header(name) && !connection_option &&
+            !(replaced && is_response_signature)) {
+            headers.emplace_back(name, value);
+        }
+    }
+    exchange_->on_writable = [this] {
+        if (connection_) {
+            connection_->set_reading(true);
+        }
+    };
+    exchange_->begin(status, headers, response_.length);
+    flush_buffered_body();
+}
+
+void request_flow::flush_buffered_body()
+{
+    if (buffered_body_.empty()) {
+        return;
+    }
+    const auto data = std::move(buffered_body_);
+    buffered_body_.clear();
+    if (!exchange_->write(data.data(), data.size()) && connection_) {
+        connection_->set_reading(false);
+    }
+}
+
+void request_flow::on_body(const char* buf, std::size_t n)
+{
+    if (relaying_) {
+        if (!exchange_->write(buf, n) && connection_) {
+            connection_->set_reading(false);
+        }
+        return;
+    }
+    buffered_body_.append(buf, n);
+    const bool succeeded = report_.outcome == attempt_outcome::answered;
+    if (succeeded && buffered_body_.size() > context_.settings.held_answer) {
+        begin_response();
+    }
+}
+
+void request_flow::on_end(bool reusable)
+{
+    const auto self = shared_from_this();
+    const auto now = monotonic_now();
+    const auto outcome = report_.outcome;
+    report_.took = static_cast<std::uint64_t>((now - sent_at_).count());
+    if (outcome == attempt_outcome::answered) {
+        services_.record_service_time(server_.id, now - sent_at_);
+        auto& size = services_.response_sizes[route_->route.name];
+        const auto bytes = static_cast<double>(response_.length.value_or(buffered_body_.size()));
+        size += response_size_weight * (bytes - size);
+    }
+    if (outcome != attempt_outcome::rejected) {
+        services_.crashes.on_answer(now, fingerprint_);
+    }
+    if (response_.status != http_status::misdirected) {
+        services_.crashes.on_sign_of_life(now, process(), sent_at_);
+    }
+    leave_server(outcome, reusable);
+    if (exchange_->disconnected()) {
+        finish(0, "caller_gone");
+        return;
+    }
+    if (outcome == attempt_outcome::rejected) {
+        verdict_ = verdict::not_run;
+        history_.on_not_run(server_.id);
+        if (response_.status == http_status::misdirected && key_ &&
+            ++owner_misses_ <= max_owner_misses) {
+            history_.forget(server_.id);
+        }
+        retry("turned_away", true);
+        return;
+    }
+    verdict_ = verdict::ran;
+    if (!relaying_ && outcome == attempt_outcome::failed && may_retry_failed_response() &&
+        services_.budget(service_).try_spend(now, services_.host_count())) {
+        retry("server_failed", false);
+        return;
+    }
+    if (!relaying_) {
+        if (!response_.length) {
+            response_.length = buffered_body_.size();
+        }
+        begin_response();
+    }
+    exchange_->end();
+    finish(response_.status, "answered");
+}
+
+void request_flow::on_lost(connection_loss how)
+{
+    const auto self = shared_from_this();
+    const bool sent = connection_ && connection_->sent();
+    const auto took = monotonic_now() - sent_at_;
+    report_.took = static_cast<std::uint64_t>(took.count());
+    leave_server(attempt_outcome::connection_lost, false);
+    log_event("server_lost", {{"request", id_},
+                              {"server", server_.id.value},
+                              {"how", to_string(how)},
+                              {"sent", sent ? "yes" : "no"},
+                              {"contents", fingerprint_},
+                              {"caller", exchange_->caller},
+                              {"took", took}});
+    if (sent && (how == connection_loss::closed || how == connection_loss::reset)) {
+        note_crash();
+    }
+    if (exchange_->disconnected()) {
+        finish(0, "caller_gone");
+        return;
+    }
+    if (relaying_) {
+        exchange_->abort();
+        finish(response_.status, "answer_broke_off");
+        return;
+    }
+    if (!sent || idempotent()) {
+        retry(to_string(how), sent);
+        return;
+    }
+    fail(http_status::bad_gateway, to_string(how));
+}
+
+void request_flow::leave_server(attempt_outcome outcome, bool reusable)
+{
+    report_.outcome = outcome;
+    if (slot_number_ != 0) {
+        services_.dispatch.release_slot(std::exchange(slot_number_, 0), report_);
+    }
+    if (!connection_) {
+        return;
+    }
+    if (reusable) {
+        services_.connections.release(std::move(connection_));
+    } else {
+        services_.connections.discard(std::move(connection_));
+    }
+    connection_ = nullptr;
+}
+
+// ---- retries
+
+bool request_flow::may_retry_failed_response() const
+{
+    const bool in_time = time_left() > millis{20};
+    return idempotent() && history_.servers_left() && in_time && !exchange_->disconnected() &&
+           !key_ && services_.may_start_requests();
+}
+
+void request_flow::retry(const char* why, bool uses_budget)
+{
+    if (!services_.may_start_requests()) {
+        refuse_unsent();
+        return;
+    }
+    const bool attempts_left = history_.may_send_again();
+    const bool in_time = time_left() > millis{20};
+    const bool within_budget = attempts_left && in_time &&
+                               (!uses_budget || services_.budget(service_).try_spend(
+                                                    monotonic_now(), services_.host_count()));
+    log_event("again", {{"request", id_},
+                        {"server", server_.id.value},
+                        {"why", why},
+                        {"sends", history_.sends()},
+                        {"left", time_left()},
+                        {"allowed", attempts_left && in_time && within_budget ? "yes" : "no"}});
+    if (!attempts_left || !in_time || !within_budget) {
+        if (verdict_ == verdict::not_run) {
+            refuse(why, millis{150});
+        } else {
+            fail(http_status::bad_gateway, why);
+        }
+        return;
+    }
+    find_server();
+}
+
+} // namespace quincewing
--- /dev/null
+++ b/src/plugins/entry/request_properties.hpp
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "caller_exchange.hpp"
+
+#include "quincewing/routing/route_table.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace quincewing {
+
+/// The header's value, if it is a whole number.
+std::optional<std::int64_t> integer_header(const header_list& headers, const std::string& name);
+/// Class of traffic, as a number that is equal on all hosts.
+std::uint64_t traffic_class_of(const route& it);
+/// The value of a Host header without its port.
+std::string host_without_port(const std::string& host);
+/// Hash of what repeats of the request have in common with it.
+std::uint64_t fingerprint_of(const caller_exchange& it);
+
+} // namespace quincewing
--- a/src/plugins/entry/status_server.cpp
+++ b/src/plugins/entry/status_server.cpp
@@ -1,5 +1,7 @@
 #include "status_server.hpp"
 
+#include "http_status.hpp"
+
 #include "quincewing/net/endpoint.hpp"
 
 #include <event2/buffer.h>
@@ -10,7 +12,6 @@
 namespace {
 
 constexpr int http_ok = 200;
-constexpr int http_unavailable = 503;
 
 void reply_text(evhttp_request* request, int status, const std::string& text)
 {
@@ -61,7 +62,8 @@
     }
     const auto on_readiness = [](evhttp_request* request, void* arg) {
         const bool ready = static_cast<status_server*>(arg)->ready_();
-        reply_text(request, ready ? http_ok : http_unavailable, ready ? "ready\n" : "not ready\n");
+        reply_text(request, ready ? http_ok : http_status::unavailable,
+                   ready ? "ready\n" : "not ready\n");
     };
     evhttp_set_cb(readiness_, context_.platform.names.readiness_path.c_str(), on_readiness, this);
     const auto on_metrics = [](evhttp_request* request, void* arg) {
