Servers that lose power at once count as one crash under a request

What callers saw: nothing yet; with the crash guard of this work, a request of which copies ran at three servers that all lost power would have been refused for ten minutes. Cause: marks were counted by servers, whether or not the request had been sent again in between. Change: a mark counts only if the request was sent after the crash that counted before it; six marks in all refuse it if it was sent once more after one of them, so that callers that repeat it at the same moment are bounded too. Findings are told with their age; a host that begins to coordinate forgets what the store held before.

--- a/bench/slopes_bench.cpp
+++ b/bench/slopes_bench.cpp
@@ -177,7 +177,8 @@
         const auto before = resident();
         crash_guard guard;
         for (std::uint64_t i = 0; i < requests; ++i) {
-            guard.on_crash(now, stable_hash(std::to_string(i)), server_process{~i}, false);
+            guard.on_crash(now, stable_hash(std::to_string(i)), server_process{~i}, duration{0},
+                           false);
         }
         const auto memory = resident() - before;
         auto begun = clock_type::now();
@@ -192,7 +193,7 @@
         constexpr int answers = 1000;
         for (std::uint64_t i = 0; i < answers; ++i) {
             guard.on_answer(later, i);
-            guard.on_sign_of_life(later, server_process{i}, later);
+            guard.on_sign_of_life(server_process{i}, later);
         }
         const auto answer_us = since(begun) * 1e6 / answers;
         std::cout << "crash marks " << requests << ": " << memory << " B resident, report of all "
--- a/include/quincewing/admission/crash_guard.hpp
+++ b/include/quincewing/admission/crash_guard.hpp
@@ -19,10 +19,12 @@
     duration memory{seconds{600}};
     /// The same if none of its crashes is left that was not disproved.
     duration disproved_memory{seconds{10}};
-    /// Crashes under a request after which it is refused.
+    /// Crashes under a request, each after it was sent once more, upon which it is refused.
     std::size_t crashes_to_quarantine{3};
     /// The same when nothing else was in flight at the last of them.
     std::size_t crashes_alone_to_quarantine{2};
+    /// Crashes in all upon which it is refused if it was sent once more after one of them.
+    std::size_t overlapping_crashes_to_quarantine{6};
     /// Requests with marks that are remembered, and marks of one request.
     std::size_t max_requests{4096};
     std::size_t max_marks_per_request{8};
@@ -51,11 +53,13 @@
     explicit crash_guard(crash_guard_options options = {}) : options_(options) {}
 
     /// The server's process crashed, or its connection broke, with the request in flight.
-    void on_crash(instant now, std::uint64_t fingerprint, server_process process, bool alone);
+    /// ran_for: time since the request was sent to it. alone: nothing else was in flight there.
+    void on_crash(instant now, std::uint64_t fingerprint, server_process process, duration ran_for,
+                  bool alone);
     /// The request was answered. This does not end a quarantine.
     void on_answer(instant now, std::uint64_t fingerprint);
     /// The process answered a request that was sent to it at sent_at.
-    void on_sign_of_life(instant now, server_process process, instant sent_at);
+    void on_sign_of_life(server_process process, instant sent_at);
 
     [[nodiscard]] crash_status status(instant now, std::uint64_t fingerprint) const;
     /// Time until the quarantine ends; zero when there is none.
@@ -66,7 +70,7 @@
     [[nodiscard]] std::vector<crash_mark> marks_of(instant now, std::uint64_t fingerprint) const;
 
     /// This host's findings since the last call, for all other hosts.
-    [[nodiscard]] std::optional<crash_report> take_findings();
+    [[nodiscard]] std::optional<crash_report> take_findings(instant now);
     /// Merges another host's report; returns the reply that it wants.
     std::optional<crash_report> on_report(instant now, const crash_report& report);
     /// All marks, for a host that may know none.
@@ -86,15 +90,23 @@
         bool alone{};
         bool disproved{};
         instant at{};
+        duration ran_for{};
     };
     /// The marks of a request, the oldest first.
     using marks = std::vector<mark>;
+    /// A mark that is new here, or disproved here.
+    struct finding
+    {
+        std::uint64_t fingerprint{};
+        mark it;
+    };
     using digest_pair = std::pair<std::uint64_t, std::uint64_t>;
 
+    static crash_mark to_crash_mark(instant now, std::uint64_t fingerprint, const mark& it);
     [[nodiscard]] bool expired(instant now, const marks& of) const;
     /// Adds the mark or what it tells beyond a known one. Returns whether anything is new.
     bool add(instant now, std::uint64_t fingerprint, const mark& it);
-    void disprove(instant now, std::uint64_t fingerprint, mark& it);
+    void disprove(std::uint64_t fingerprint, mark& it);
     void forget_expired(instant now);
     /// Forgets what has expired, then what is oldest, until one more request fits.
     void make_room(instant now);
@@ -104,7 +116,7 @@
     std::map<std::uint64_t, marks> requests_;
     /// Processes with a mark that is not disproved, and when the last such mark was made.
     std::map<server_process, instant> suspected_processes_;
-    std::vector<crash_mark> findings_;
+    std::vector<finding> findings_;
     instant last_exchange_at_{};
     /// The digests, told and own, at the last exchange.
     std::optional<digest_pair> last_exchange_;
--- a/include/quincewing/admission/crash_mark.hpp
+++ b/include/quincewing/admission/crash_mark.hpp
@@ -21,6 +21,8 @@
     bool disproved{};
     /// Microseconds since then.
     std::uint64_t age{};
+    /// Microseconds for which the request had been at the server.
+    std::uint64_t ran_for{};
 
     template <class F>
     void each_field(F&& f)
@@ -30,6 +32,7 @@
         f(alone);
         f(disproved);
         f(age);
+        f(ran_for);
     }
 };
 
--- a/include/quincewing/control/server_agent.hpp
+++ b/include/quincewing/control/server_agent.hpp
@@ -101,6 +101,7 @@
     {
         request_meta meta;
         request_stage stage{request_stage::waiting_shard};
+        instant dispatched_at{};
         /// Number of the ledger update that the standby must acknowledge before the dispatch; 0
         /// for a request that has no ledger entry.
         std::uint64_t required_update{};
@@ -188,7 +189,8 @@
                            effects& out);
     void end_run(instant now, const active_request& it, const request_result& result, effects& out);
     void refuse_expired(instant now, effects& out);
-    void report_crash(instant now, std::uint64_t fingerprint);
+    /// reporter: a request that was in flight at the crash and has left requests_.
+    void report_crash(instant now, const active_request& reporter);
     [[nodiscard]] duration expected_wait(instant now) const;
 
     server_id server_;
--- a/src/libs/admission/crash_guard.cpp
+++ b/src/libs/admission/crash_guard.cpp
@@ -27,10 +27,11 @@
 // ---- findings
 
 void crash_guard::on_crash(instant now, std::uint64_t fingerprint, server_process process,
-                           bool alone)
+                           duration ran_for, bool alone)
 {
-    if (add(now, fingerprint, {.process = process, .alone = alone, .at = now})) {
-        findings_.push_back({.fingerprint = fingerprint, .process = process, .alone = alone});
+    const mark it{.process = process, .alone = alone, .at = now, .ran_for = ran_for};
+    if (add(now, fingerprint, it)) {
+        findings_.push_back({.fingerprint = fingerprint, .it = it});
     }
 }
 
@@ -41,13 +42,13 @@
         return;
     }
     for (auto& it : found->second) {
-        disprove(now, fingerprint, it);
+        disprove(fingerprint, it);
     }
     index_processes();
 }
 
 // A process that crashed never answers again: what broke was only its connection.
-void crash_guard::on_sign_of_life(instant now, server_process process, instant sent_at)
+void crash_guard::on_sign_of_life(server_process process, instant sent_at)
 {
     const auto found = suspected_processes_.find(process);
     if (found == suspected_processes_.end() || sent_at <= found->second) {
@@ -56,24 +57,20 @@
     for (auto& [fingerprint, of] : requests_) {
         for (auto& it : of) {
             if (it.process == process) {
-                disprove(now, fingerprint, it);
+                disprove(fingerprint, it);
             }
         }
     }
     index_processes();
 }
 
-void crash_guard::disprove(instant now, std::uint64_t fingerprint, mark& it)
+void crash_guard::disprove(std::uint64_t fingerprint, mark& it)
 {
     if (it.disproved) {
         return;
     }
     it.disproved = true;
-    findings_.push_back({.fingerprint = fingerprint,
-                         .process = it.process,
-                         .alone = it.alone,
-                         .disproved = true,
-                         .age = to_micros(now - it.at)});
+    findings_.push_back({.fingerprint = fingerprint, .it = it});
 }
 
 // ---- what is known
@@ -85,25 +82,36 @@
     return of.back().at + (suspected ? options_.memory : options_.disproved_memory) <= now;
 }
 
+// Copies of an innocent request may run at many servers that all lose power. Such crashes count as
+// one: only a request that is sent after a crash, and crashes a server again, is the cause.
 crash_status crash_guard::status(instant now, std::uint64_t fingerprint) const
 {
     const auto found = requests_.find(fingerprint);
     if (found == requests_.end() || expired(now, found->second)) {
         return crash_status::clear;
     }
-    std::size_t crashes = 0;
+    std::size_t all = 0;
+    std::size_t successive = 0;
     bool last_alone = false;
+    instant last{};
     for (const auto& it : found->second) {
-        if (!it.disproved) {
-            ++crashes;
-            last_alone = it.alone;
+        if (it.disproved) {
+            continue;
+        }
+        ++all;
+        last_alone = it.alone;
+        if (successive == 0 || it.at - it.ran_for >= last) {
+            ++successive;
+            last = it.at;
         }
     }
-    if (crashes >= options_.crashes_to_quarantine ||
-        (last_alone && crashes >= options_.crashes_alone_to_quarantine)) {
+    const bool quarantined = successive >= options_.crashes_to_quarantine ||
+                             (last_alone && successive >= options_.crashes_alone_to_quarantine) ||
+                             (successive > 1 && all >= options_.overlapping_crashes_to_quarantine);
+    if (quarantined) {
         return crash_status::quarantined;
     }
-    return crashes > 0 ? crash_status::suspect : crash_status::clear;
+    return all > 0 ? crash_status::suspect : crash_status::clear;
 }
 
 duration crash_guard::quarantine_left(instant now, std::uint64_t fingerprint) const
@@ -196,12 +204,27 @@
 
 // ---- exchange with other hosts
 
-std::optional<crash_report> crash_guard::take_findings()
+std::optional<crash_report> crash_guard::take_findings(instant now)
 {
     if (findings_.empty()) {
         return {};
     }
-    return crash_report{.marks = std::exchange(findings_, {})};
+    crash_report out;
+    for (const auto& [fingerprint, it] : findings_) {
+        out.marks.push_back(to_crash_mark(now, fingerprint, it));
+    }
+    findings_.clear();
+    return out;
+}
+
+crash_mark crash_guard::to_crash_mark(instant now, std::uint64_t fingerprint, const mark& it)
+{
+    return {.fingerprint = fingerprint,
+            .process = it.process,
+            .alone = it.alone,
+            .disproved = it.disproved,
+            .age = to_micros(now - it.at),
+            .ran_for = to_micros(it.ran_for)};
 }
 
 std::optional<crash_report> crash_guard::on_report(instant now, const crash_report& report)
@@ -213,7 +236,8 @@
                 {.process = it.process,
                  .alone = it.alone,
                  .disproved = it.disproved,
-                 .at = now - age});
+                 .at = now - age,
+                 .ran_for = duration{static_cast<duration::rep>(it.ran_for)}});
         }
     }
     index_processes();
@@ -271,11 +295,7 @@
         return out;
     }
     for (const auto& it : found->second) {
-        out.push_back({.fingerprint = fingerprint,
-                       .process = it.process,
-                       .alone = it.alone,
-                       .disproved = it.disproved,
-                       .age = to_micros(now - it.at)});
+        out.push_back(to_crash_mark(now, fingerprint, it));
     }
     return out;
 }
--- a/src/libs/control/host_core.cpp
+++ b/src/libs/control/host_core.cpp
@@ -441,7 +441,7 @@
 
 void host_core::broadcast_crash_findings(instant now, effects& out)
 {
-    const auto report = guard_.take_findings();
+    const auto report = guard_.take_findings(now);
     if (!report) {
         return;
     }
--- a/src/libs/control/server_agent_requests.cpp
+++ b/src/libs/control/server_agent_requests.cpp
@@ -198,6 +198,7 @@
                         replicated(it.required_update),
                     "the standby has a run's ledger entry before it is dispatched");
     it.stage = request_stage::in_flight;
+    it.dispatched_at = now;
     dispatch order{.id = it.meta.id, .server = server_};
     if (!any) {
         ++held->second.in_flight;
@@ -270,7 +271,7 @@
                      : result.verdict == verdict::ran ? completion::ok
                                                       : completion::failed;
     if (result.server_crashed) {
-        report_crash(now, it.meta.fingerprint);
+        report_crash(now, it);
     } else if (result.verdict == verdict::ran) {
         guard_.on_answer(now, it.meta.fingerprint);
     }
@@ -380,24 +381,24 @@
 
 // Every request in flight at the crash is suspect. Each of them reports the crash when its
 // connection breaks; the first report covers all.
-void server_agent::report_crash(instant now, std::uint64_t fingerprint)
+void server_agent::report_crash(instant now, const active_request& reporter)
 {
     if (crash_reported_at_ && now - *crash_reported_at_ < crash_report_window) {
         return;
     }
     crash_reported_at_ = now;
-    std::vector<std::uint64_t> in_flight{fingerprint};
+    std::vector<const active_request*> in_flight{&reporter};
     for (const auto& [id, it] : requests_) {
         if (it.stage == request_stage::in_flight) {
-            in_flight.push_back(it.meta.fingerprint);
+            in_flight.push_back(&it);
         }
     }
     // A server keeps its id when it starts again, so the time tells its processes apart.
     const auto time = static_cast<std::uint64_t>(now.time_since_epoch().count());
     const server_process process{stable_hash(server_.value, stable_hash(self_.value, time))};
     const bool alone = in_flight.size() == 1;
-    for (const auto it : in_flight) {
-        guard_.on_crash(now, it, process, alone);
+    for (const auto* it : in_flight) {
+        guard_.on_crash(now, it->meta.fingerprint, process, now - it->dispatched_at, alone);
     }
 }
 
--- a/src/plugins/entry/crash_exchange.cpp
+++ b/src/plugins/entry/crash_exchange.cpp
@@ -47,7 +47,7 @@
 
 void crash_exchange::tick(instant now, bool coordinating)
 {
-    tell_findings();
+    tell_findings(now);
     read_store(now, coordinating);
     if (coordinating && read_done_) {
         write_store(now);
@@ -63,9 +63,9 @@
     }
 }
 
-void crash_exchange::tell_findings()
+void crash_exchange::tell_findings(instant now)
 {
-    const auto report = guard_.take_findings();
+    const auto report = guard_.take_findings(now);
     if (!report) {
         return;
     }
@@ -123,6 +123,7 @@
         return;
     }
     read_done_ = true;
+    stored_ = {};
     for (const auto& it : page.records) {
         const auto fingerprint = fingerprint_of_key(it.key);
         if (!it.value || !fingerprint) {
--- a/src/plugins/entry/crash_exchange.hpp
+++ b/src/plugins/entry/crash_exchange.hpp
@@ -28,7 +28,7 @@
     void on_message(const host_id& from, const crash_report& it);
 
 private:
-    void tell_findings();
+    void tell_findings(instant now);
     void tell_digest(const host_id& to, instant now);
     /// Reads what the store holds: once after the start, and whenever this host begins to
     /// coordinate.
--- a/src/plugins/entry/request_flow.hpp
+++ b/src/plugins/entry/request_flow.hpp
@@ -65,7 +65,7 @@
     /// The chosen server's process.
     [[nodiscard]] server_process process() const;
     /// The connection broke after the request was sent: the request may have crashed the server.
-    void note_crash();
+    void note_crash(duration ran_for);
     head_action on_head(message_head& head);
     void on_body(const char* buf, std::size_t n);
     void on_end(bool reusable);
--- a/src/plugins/entry/request_flow_server.cpp
+++ b/src/plugins/entry/request_flow_server.cpp
@@ -102,12 +102,12 @@
     return server_process{stable_hash(server_.id.value, server_.start.value)};
 }
 
-void request_flow::note_crash()
+void request_flow::note_crash(duration ran_for)
 {
     const auto now = monotonic_now();
     auto& crashes = services_.crashes;
     // What else was in flight at the server is known to the other hosts only.
-    crashes.on_crash(now, fingerprint_, process(), false);
+    crashes.on_crash(now, fingerprint_, process(), ran_for, false);
     if (crashes.status(now, fingerprint_) == crash_status::quarantined) {
         log_event("quarantine", {{"contents", fingerprint_},
                                  {"request", id_},
@@ -221,7 +221,7 @@
         services_.crashes.on_answer(now, fingerprint_);
     }
     if (response_.status != http_status::misdirected) {
-        services_.crashes.on_sign_of_life(now, process(), sent_at_);
+        services_.crashes.on_sign_of_life(process(), sent_at_);
     }
     leave_server(outcome, reusable);
     if (exchange_->disconnected()) {
@@ -269,7 +269,7 @@
                               {"caller", exchange_->caller},
                               {"took", took}});
     if (sent && (how == connection_loss::closed || how == connection_loss::reset)) {
-        note_crash();
+        note_crash(took);
     }
     if (exchange_->disconnected()) {
         finish(0, "caller_gone");
--- a/tests/auto/admission/crash_guard_test.cpp
+++ b/tests/auto/admission/crash_guard_test.cpp
@@ -27,12 +27,12 @@
 {
     crash_guard guard;
     for (const std::uint64_t it : {1, 2, 3}) {
-        guard.on_crash(at(0), it, p1, false);
+        guard.on_crash(at(0), it, p1, duration{0}, false);
         CHECK(guard.status(at(0), it) == crash_status::suspect);
     }
     guard.on_answer(at(1), 2);
     CHECK(guard.status(at(1), 2) == crash_status::clear);
-    guard.on_crash(at(2), 1, p2, true);
+    guard.on_crash(at(2), 1, p2, duration{0}, true);
     CHECK(guard.status(at(3), 1) == crash_status::quarantined);
     CHECK(guard.quarantine_left(at(3), 1) > seconds{599});
     CHECK(guard.status(at(3), 3) == crash_status::suspect);
@@ -43,11 +43,11 @@
 TEST_CASE("crash guard: three crashes beside other requests quarantine, one process counts once")
 {
     crash_guard guard;
-    guard.on_crash(at(0), 1, p1, false);
-    guard.on_crash(at(1), 1, p1, false);
-    guard.on_crash(at(2), 1, p2, false);
+    guard.on_crash(at(0), 1, p1, duration{0}, false);
+    guard.on_crash(at(1), 1, p1, duration{0}, false);
+    guard.on_crash(at(2), 1, p2, duration{0}, false);
     CHECK(guard.status(at(3), 1) == crash_status::suspect);
-    guard.on_crash(at(4), 1, p3, false);
+    guard.on_crash(at(4), 1, p3, duration{0}, false);
     CHECK(guard.status(at(5), 1) == crash_status::quarantined);
     guard.on_answer(at(6), 1);
     CHECK(guard.status(at(7), 1) == crash_status::quarantined);
@@ -57,34 +57,58 @@
 TEST_CASE("crash guard: a process that answers later was not crashed")
 {
     crash_guard guard;
-    guard.on_crash(at(10), 1, p1, false);
-    guard.on_crash(at(20), 1, p2, false);
+    guard.on_crash(at(10), 1, p1, duration{0}, false);
+    guard.on_crash(at(20), 1, p2, duration{0}, false);
     // Sent before the connection broke: the answer may have been on its way.
-    guard.on_sign_of_life(at(30), p1, at(5));
-    guard.on_crash(at(40), 1, p3, false);
+    guard.on_sign_of_life(p1, at(5));
+    guard.on_crash(at(40), 1, p3, duration{0}, false);
     CHECK(guard.status(at(50), 1) == crash_status::quarantined);
-    guard.on_sign_of_life(at(60), p1, at(55));
+    guard.on_sign_of_life(p1, at(55));
     CHECK(guard.status(at(61), 1) == crash_status::suspect);
 }
 
+// Guards against copies of an innocent request that are refused after a failure of many servers.
+TEST_CASE("crash guard: servers that crash at once count once, however many")
+{
+    crash_guard guard;
+    for (std::uint64_t i = 0; i < 7; ++i) {
+        const auto now = at(1'000'000 + static_cast<long long>(i) * 1000);
+        guard.on_crash(now, 1, server_process{i}, millis{300}, false);
+        CHECK(guard.status(now, 1) == crash_status::suspect);
+    }
+    // Sent after them, it crashes one more.
+    guard.on_crash(at(5'000'000), 1, server_process{9}, millis{300}, false);
+    CHECK(guard.status(at(5'000'000), 1) == crash_status::quarantined);
+}
+
+TEST_CASE("crash guard: each crash of a request that its host sends on counts")
+{
+    crash_guard guard;
+    guard.on_crash(at(1'000'000), 1, p1, millis{60}, false);
+    guard.on_crash(at(1'061'000), 1, p2, millis{60}, false);
+    CHECK(guard.status(at(1'061'000), 1) == crash_status::suspect);
+    guard.on_crash(at(1'122'000), 1, p3, millis{60}, false);
+    CHECK(guard.status(at(1'122'000), 1) == crash_status::quarantined);
+}
+
 TEST_CASE("crash guard: reports make hosts know the same, whatever their order")
 {
     crash_guard first;
     crash_guard second;
-    first.on_crash(at(0), 1, p1, false);
-    first.on_crash(at(1), 1, p2, false);
-    second.on_crash(at(2), 1, p3, false);
-    second.on_crash(at(3), 2, p3, false);
-    const auto findings = first.take_findings();
+    first.on_crash(at(0), 1, p1, duration{0}, false);
+    first.on_crash(at(1), 1, p2, duration{0}, false);
+    second.on_crash(at(2), 1, p3, duration{0}, false);
+    second.on_crash(at(3), 2, p3, duration{0}, false);
+    const auto findings = first.take_findings(at(2));
     REQUIRE(findings);
-    CHECK_FALSE(first.take_findings());
+    CHECK_FALSE(first.take_findings(at(3)));
     first.on_answer(at(4), 1);
-    const auto disproof = first.take_findings();
+    const auto disproof = first.take_findings(at(4));
     REQUIRE(disproof);
     // The newer report overtakes the older one.
     second.on_report(at(5), *disproof);
     second.on_report(at(6), *findings);
-    first.on_report(at(7), *second.take_findings());
+    first.on_report(at(7), *second.take_findings(at(7)));
     for (const std::uint64_t it : {1, 2}) {
         CHECK(first.status(at(8), it) == crash_status::suspect);
         CHECK(second.status(at(8), it) == crash_status::suspect);
@@ -98,7 +122,7 @@
 {
     crash_guard old;
     for (const auto process : {p1, p2, p3}) {
-        old.on_crash(at(0), 1, process, false);
+        old.on_crash(at(0), 1, process, duration{0}, false);
     }
     const auto now = at(5'000'000);
     crash_guard restarted;
@@ -120,13 +144,13 @@
 {
     crash_guard guard{{.max_requests = 3}};
     for (std::uint64_t it = 1; it <= 5; ++it) {
-        guard.on_crash(at(static_cast<long long>(it)), it, p1, false);
+        guard.on_crash(at(static_cast<long long>(it)), it, p1, duration{0}, false);
     }
     CHECK(guard.size() == 3);
     CHECK(guard.status(at(9), 2) == crash_status::clear);
     CHECK(guard.status(at(9), 3) == crash_status::suspect);
     for (std::uint64_t it = 1; it <= 20; ++it) {
-        guard.on_crash(at(10), 5, server_process{it}, false);
+        guard.on_crash(at(10), 5, server_process{it}, duration{0}, false);
     }
     CHECK(guard.size() == 3);
 }
@@ -213,13 +237,14 @@
         // A server loses an answer of the innocent request and goes on.
         if (chance(0.5)) {
             const server_process process{1000 + number(5)};
-            guard.on_crash(now_, innocent, process, false);
-            guard.on_sign_of_life(now_ + duration{2}, process, now_ + duration{1});
+            guard.on_crash(now_, innocent, process, duration{0}, false);
+            guard.on_sign_of_life(process, now_ + duration{1});
         }
         if (guard.status(now_, crashing) == crash_status::quarantined) {
             return;
         }
-        guard.on_crash(now_, crashing, server_process{++processes_ + 1'000'000}, false);
+        guard.on_crash(now_, crashing, server_process{++processes_ + 1'000'000}, duration{0},
+                       false);
         ++crashes_;
         if (crashes_ == 3) {
             third_ = now_;
@@ -231,7 +256,7 @@
 
     void tell(std::size_t i)
     {
-        if (const auto report = hosts_[i].take_findings()) {
+        if (const auto report = hosts_[i].take_findings(now_)) {
             for (std::size_t to = 0; to < hosts_.size(); ++to) {
                 send({.from = i, .to = to, .report = report});
             }
--- a/tests/auto/admission/stored_quarantines_test.cpp
+++ b/tests/auto/admission/stored_quarantines_test.cpp
@@ -22,7 +22,7 @@
 {
     crash_guard out;
     for (const std::uint64_t process : {1, 2, 3}) {
-        out.on_crash(at(seconds{100}), crashing, server_process{process}, false);
+        out.on_crash(at(seconds{100}), crashing, server_process{process}, duration{0}, false);
     }
     return out;
 }
