A server's own error does not show that a request crashes none

What callers saw: nothing yet; with the crash guard of this work, a request that crashes servers would have gone on if a server gave up on one of its runs in between. Cause: any answer took the marks of a request back, also a 504 at the deadline, which ends a run that would have crashed the server. Change: only an answer below 500 does.

--- a/include/quincewing/admission/crash_guard.hpp
+++ b/include/quincewing/admission/crash_guard.hpp
@@ -56,7 +56,7 @@
     /// ran_for: time since the request was sent to it. alone: nothing else was in flight there.
     void on_crash(instant now, std::uint64_t fingerprint, server_process process, duration ran_for,
                   bool alone);
-    /// The request was answered. This does not end a quarantine.
+    /// The request was answered, not with an error of the server. This does not end a quarantine.
     void on_answer(instant now, std::uint64_t fingerprint);
     /// The process answered a request that was sent to it at sent_at.
     void on_sign_of_life(server_process process, instant sent_at);
--- a/src/plugins/entry/request_flow_server.cpp
+++ b/src/plugins/entry/request_flow_server.cpp
@@ -217,7 +217,8 @@
         const auto bytes = static_cast<double>(response_.length.value_or(buffered_body_.size()));
         size += response_size_weight * (bytes - size);
     }
-    if (outcome != attempt_outcome::rejected) {
+    // A server's error may end a run that would have crashed it.
+    if (outcome == attempt_outcome::answered) {
         services_.crashes.on_answer(now, fingerprint_);
     }
     if (response_.status != http_status::misdirected) {
