--- a/bench/slopes_bench.cpp
+++ b/bench/slopes_bench.cpp
@@ -184,7 +184,7 @@
         auto begun = clock_type::now();
         const auto digest = guard.digest(later);
         const auto digest_us = since(begun) * 1e6;
-        const auto all = guard.all(later, false);
+        const auto all = guard.report_all(later, false);
         crash_guard restarted;
         begun = clock_type::now();
         restarted.on_report(later, all);
@@ -193,7 +193,7 @@
         constexpr int answers = 1000;
         for (std::uint64_t i = 0; i < answers; ++i) {
             guard.on_answer(later, i);
-            guard.on_sign_of_life(server_process{i}, later);
+            guard.on_process_alive(server_process{i}, later);
         }
         const auto answer_us = since(begun) * 1e6 / answers;
         std::cout << "crash marks " << requests << ": " << memory << " B resident, report of all "
--- a/include/quincewing/admission/crash_guard.hpp
+++ b/include/quincewing/admission/crash_guard.hpp
@@ -59,7 +59,7 @@
     /// The request was answered, not with an error of the server. This does not end a quarantine.
     void on_answer(instant now, std::uint64_t fingerprint);
     /// The process answered a request that was sent to it at sent_at.
-    void on_sign_of_life(server_process process, instant sent_at);
+    void on_process_alive(server_process process, instant sent_at);
 
     [[nodiscard]] crash_status status(instant now, std::uint64_t fingerprint) const;
     /// Time until the quarantine ends; zero when there is none.
@@ -74,7 +74,7 @@
     /// Merges another host's report; returns the reply that it wants.
     std::optional<crash_report> on_report(instant now, const crash_report& report);
     /// All marks, for a host that may know none.
-    [[nodiscard]] crash_report all(instant now, bool wants_all) const;
+    [[nodiscard]] crash_report report_all(instant now, bool wants_all) const;
     /// Equal on hosts that know the same marks. Forgets what has expired.
     [[nodiscard]] std::uint64_t digest(instant now);
     /// Another host told its digest. Returns the report to send to it if the digests differ.
--- a/src/libs/admission/crash_guard.cpp
+++ b/src/libs/admission/crash_guard.cpp
@@ -48,7 +48,7 @@
 }
 
 // A process that crashed never answers again: what broke was only its connection.
-void crash_guard::on_sign_of_life(server_process process, instant sent_at)
+void crash_guard::on_process_alive(server_process process, instant sent_at)
 {
     const auto found = suspected_processes_.find(process);
     if (found == suspected_processes_.end() || sent_at <= found->second) {
@@ -244,7 +244,7 @@
     if (!report.wants_all) {
         return {};
     }
-    return all(now, false);
+    return report_all(now, false);
 }
 
 std::uint64_t crash_guard::digest(instant now)
@@ -274,10 +274,10 @@
     }
     last_exchange_at_ = now;
     last_exchange_ = both;
-    return all(now, true);
+    return report_all(now, true);
 }
 
-crash_report crash_guard::all(instant now, bool wants_all) const
+crash_report crash_guard::report_all(instant now, bool wants_all) const
 {
     crash_report out{.wants_all = wants_all};
     for (const auto& [fingerprint, of] : requests_) {
--- a/src/plugins/entry/request_flow_server.cpp
+++ b/src/plugins/entry/request_flow_server.cpp
@@ -222,7 +222,7 @@
         services_.crashes.on_answer(now, fingerprint_);
     }
     if (response_.status != http_status::misdirected) {
-        services_.crashes.on_sign_of_life(process(), sent_at_);
+        services_.crashes.on_process_alive(process(), sent_at_);
     }
     leave_server(outcome, reusable);
     if (exchange_->disconnected()) {
--- a/tests/auto/admission/crash_guard_test.cpp
+++ b/tests/auto/admission/crash_guard_test.cpp
@@ -60,10 +60,10 @@
     guard.on_crash(at(10), 1, p1, duration{0}, false);
     guard.on_crash(at(20), 1, p2, duration{0}, false);
     // Sent before the connection broke: the answer may have been on its way.
-    guard.on_sign_of_life(p1, at(5));
+    guard.on_process_alive(p1, at(5));
     guard.on_crash(at(40), 1, p3, duration{0}, false);
     CHECK(guard.status(at(50), 1) == crash_status::quarantined);
-    guard.on_sign_of_life(p1, at(55));
+    guard.on_process_alive(p1, at(55));
     CHECK(guard.status(at(61), 1) == crash_status::suspect);
 }
 
@@ -238,7 +238,7 @@
         if (chance(0.5)) {
             const server_process process{1000 + number(5)};
             guard.on_crash(now_, innocent, process, duration{0}, false);
-            guard.on_sign_of_life(process, now_ + duration{1});
+            guard.on_process_alive(process, now_ + duration{1});
         }
         if (guard.status(now_, crashing) == crash_status::quarantined) {
             return;
