A keyed request that its server turns away is sent three times at most

Cause: a server that answers 421 was taken out of the servers that the request had been sent to, so that a server always seemed to be left: the request went to the same address every 14 ms as long as the retry budget of its own service lasted, and the arrivals counted at the service that has the address now. Change: a keyed request is sent three times at most, whatever answers it gets; without a key each send goes to another server, as before. Measured: send_history_test, 100 sends before (the test's own bound), 3 now.

--- a/src/libs/dispatch/send_history.cpp
+++ b/src/libs/dispatch/send_history.cpp
@@ -21,9 +21,10 @@
     tried_.insert(server);
 }
 
+// Without a key each send goes to another server.
 bool send_history::may_send_again() const
 {
-    return sends_ == 0 || servers_left() || (keyed_ && sends_ < max_sends_of_keyed);
+    return sends_ == 0 || (keyed_ ? sends_ < max_sends_of_keyed : servers_left());
 }
 
 bool send_history::may_run_at(const server_id& server) const
--- a/tests/auto/dispatch/send_history_test.cpp
+++ b/tests/auto/dispatch/send_history_test.cpp
@@ -36,6 +36,22 @@
     CHECK(it.may_run_at(c));
 }
 
+// Guards against a request that is sent to a server again and again, as long as the retry budget
+// lasts, since the server says each time that it is another one.
+TEST_CASE("send history: a keyed request that its server turns away is sent three times at most")
+{
+    send_history it;
+    it.set_limits(2, true);
+    int sends = 0;
+    while (it.may_send_again() && sends < 100) {
+        send(it, a);
+        it.on_not_run(a);
+        it.forget(a);
+        ++sends;
+    }
+    CHECK(sends == 3);
+}
+
 TEST_CASE("send history: a request without a key is sent to as many servers as its route allows")
 {
     send_history it;
