BUDGET: a server that wants rest gets none of this host's requests, one that leaves none at all

Seen by callers: 503 after three sends within 7 ms, for each request whose key's owner wanted rest. Cause: no host read Retry-After of a server's answer, nor Server-Leaving; a turned away request found the same owner. Change: both are decoded and held where the limit is; leaving is told to all hosts and counts as the store's word; rest binds the host. All ways to a server ask: request of a slot, its grant, repeats, a connection just made.

--- a/include/quincewing/deployment/deployment_view.hpp
+++ b/include/quincewing/deployment/deployment_view.hpp
@@ -34,11 +34,14 @@
 
     [[nodiscard]] const route_table& routes() const { return routes_; }
     [[nodiscard]] const backend_servers& servers() const { return servers_; }
+    /// The servers as the store has them, where those that say themselves that they stop are
+    /// draining too.
+    [[nodiscard]] backend_servers servers_with_own_word() const;
     [[nodiscard]] const assignment_table& table() const { return table_; }
     [[nodiscard]] bool keyed(const service_id& service) const;
     [[nodiscard]] std::set<service_id> keyed_services() const;
     [[nodiscard]] key_owner owner_of(const service_id& service, key_number key) const;
-    /// The server; nullptr when it is not registered or is draining.
+    /// The server; nullptr when it is not registered or stops.
     [[nodiscard]] const backend_server* find_usable_server(const server_id& id) const;
     /// Servers of a service that accept new requests.
     [[nodiscard]] std::vector<backend_server> servers_of(const service_id& service) const;
@@ -54,6 +57,12 @@
     [[nodiscard]] bool servers_known() const { return servers_known_; }
 
 private:
+    /// By the store's word or by its own.
+    [[nodiscard]] bool stops(const backend_server& it) const
+    {
+        return it.draining || conditions_.leaving(it);
+    }
+
     route_table routes_;
     backend_servers servers_;
     server_conditions conditions_;
--- a/include/quincewing/deployment/server_condition.hpp
+++ b/include/quincewing/deployment/server_condition.hpp
@@ -15,6 +15,8 @@
     server_start start;
     /// The rate that it takes from all hosts together; 0: it names none.
     request_rate rate_limit;
+    /// It stops soon.
+    bool leaving{};
     /// Microseconds since the answer that said so.
     std::uint64_t age{};
 
@@ -25,6 +27,7 @@
         f(start);
         f(rate_limit);
         f(age);
+        f(leaving);
     }
 };
 
--- a/include/quincewing/deployment/server_conditions.hpp
+++ b/include/quincewing/deployment/server_conditions.hpp
@@ -8,6 +8,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <vector>
 
 namespace quincewing {
 
@@ -22,6 +23,15 @@
     std::size_t max_processes{16384};
 };
 
+/// What changed with an answer.
+struct condition_change
+{
+    /// Its limit, or that it leaves: what holds for all hosts.
+    bool shared{};
+    /// The server wants rest from this host from now on.
+    bool rest_began{};
+};
+
 /// What the processes of backend servers say of themselves, from the answers that this host got
 /// and from what other hosts tell. Decides only: the caller sends the reports.
 class server_conditions
@@ -30,10 +40,9 @@
     explicit server_conditions(server_conditions_options options = {}) : options_(options) {}
 
     /// An answer of the process to a request that was sent to it at sent_at. sent_at must be
-    /// instant{} when it is not certain that the process gave this answer to this request. Returns
-    /// whether anything changed.
-    bool on_notice(instant now, const backend_server& process, instant sent_at,
-                   const server_notice& notice);
+    /// instant{} when it is not certain that the process gave this answer to this request.
+    condition_change on_notice(instant now, const backend_server& process, instant sent_at,
+                               const server_notice& notice);
     /// Merges what another host tells. Returns whether anything changed.
     bool on_report(instant now, const server_condition_report& report);
     /// Forgets what is too old. Call about once a second.
@@ -47,6 +56,13 @@
     [[nodiscard]] std::map<server_id, request_rate>
     rate_limits(const backend_servers& listed) const;
 
+    /// Whether the process said that it stops soon. This holds until its end.
+    [[nodiscard]] bool leaving(const backend_server& process) const;
+    /// Time for which the process wants nothing from this host; zero: none.
+    [[nodiscard]] duration rest_left(instant now, const backend_server& process) const;
+    /// The processes that want nothing from this host now.
+    [[nodiscard]] std::vector<server_id> resting(instant now) const;
+
     /// This host's findings since the last call, for all other hosts.
     [[nodiscard]] std::optional<server_condition_report> take_findings(instant now);
     /// All that is known, for a host that may know nothing.
@@ -63,6 +79,8 @@
         instant limited_since{};
         /// When the answer came that said so last.
         instant said_at{};
+        bool leaving{};
+        instant rest_until{};
         /// Since when the process is not listed.
         std::optional<instant> unlisted_since;
     };
@@ -72,7 +90,10 @@
     /// of the server is known.
     condition* entry_of(const server_id& id, server_start start);
     static bool set_limit(instant now, condition& to, std::optional<request_rate> limit);
+    /// Takes the limit of an answer. Returns whether it is another.
+    static bool on_limit(instant now, condition& to, instant sent_at, const server_notice& notice);
     bool merge(instant now, const server_condition& told);
+    bool merge_limit(instant now, condition& to, const server_condition& told);
     [[nodiscard]] bool is_newer(const condition& known, instant said_at,
                                 std::optional<request_rate> limit) const;
     static server_condition to_report(instant now, const server_id& id, const condition& it);
--- a/src/libs/deployment/deployment_view.cpp
+++ b/src/libs/deployment/deployment_view.cpp
@@ -49,14 +49,23 @@
 const backend_server* deployment_view::find_usable_server(const server_id& id) const
 {
     const auto found = servers_.find(id);
-    return found == servers_.end() || found->second.draining ? nullptr : &found->second;
+    return found == servers_.end() || stops(found->second) ? nullptr : &found->second;
+}
+
+backend_servers deployment_view::servers_with_own_word() const
+{
+    auto out = servers_;
+    for (auto& [id, server] : out) {
+        server.draining = stops(server);
+    }
+    return out;
 }
 
 std::vector<backend_server> deployment_view::servers_of(const service_id& service) const
 {
     std::vector<backend_server> out;
     for (const auto& [id, server] : servers_) {
-        if (server.service == service && !server.draining) {
+        if (server.service == service && !stops(server)) {
             out.push_back(server);
         }
     }
--- a/src/libs/deployment/server_conditions.cpp
+++ b/src/libs/deployment/server_conditions.cpp
@@ -55,27 +55,47 @@
 // A lower limit holds at once. A higher one, or none, holds if the request was sent after the
 // last answer that said otherwise: answers to requests that run beside each other may come in
 // another order than the server gave them.
-bool server_conditions::on_notice(instant now, const backend_server& process, instant sent_at,
-                                  const server_notice& notice)
+bool server_conditions::on_limit(instant now, condition& to, instant sent_at,
+                                 const server_notice& notice)
 {
-    if (!notice.unreadable.empty() || (!notice.rate_limit && find(process) == nullptr)) {
+    if (notice.rate_limit_unreadable) {
         return false;
     }
-    auto* entry = entry_of(process.id, process.start);
-    if (entry == nullptr) {
+    if (notice.rate_limit == to.rate_limit) {
+        to.said_at = now;
         return false;
     }
-    if (notice.rate_limit == entry->rate_limit) {
-        entry->said_at = now;
+    if (!is_lower(notice.rate_limit, to.rate_limit) && sent_at <= to.said_at) {
         return false;
     }
-    if (!is_lower(notice.rate_limit, entry->rate_limit) && sent_at <= entry->said_at) {
-        return false;
+    to.said_at = now;
+    return set_limit(now, to, notice.rate_limit);
+}
+
+condition_change server_conditions::on_notice(instant now, const backend_server& process,
+                                              instant sent_at, const server_notice& notice)
+{
+    const bool says_something = notice.rate_limit || notice.leaving || notice.rest;
+    if (!says_something && find(process) == nullptr) {
+        return {};
     }
-    entry->said_at = now;
-    set_limit(now, *entry, notice.rate_limit);
-    findings_.insert(process.id);
-    return true;
+    auto* entry = entry_of(process.id, process.start);
+    if (entry == nullptr) {
+        return {};
+    }
+    condition_change out{.shared = on_limit(now, *entry, sent_at, notice)};
+    if (notice.leaving && !entry->leaving) {
+        entry->leaving = true;
+        out.shared = true;
+    }
+    if (notice.rest) {
+        out.rest_began = now >= entry->rest_until;
+        entry->rest_until = std::max(entry->rest_until, now + *notice.rest);
+    }
+    if (out.shared) {
+        findings_.insert(process.id);
+    }
+    return out;
 }
 
 // Of two answers that came at about the same time the one with the lower limit holds, so that all
@@ -90,25 +110,35 @@
     return lead > duration{0};
 }
 
-bool server_conditions::merge(instant now, const server_condition& told)
+bool server_conditions::merge_limit(instant now, condition& to, const server_condition& told)
 {
-    const bool is_new = !processes_.contains(told.server);
     const auto limit = limit_of(told);
-    auto* entry = is_new && !limit ? nullptr : entry_of(told.server, told.start);
-    if (entry == nullptr) {
-        return false;
-    }
     const auto said_at = now - duration{told.age};
-    if (entry->rate_limit == limit) {
-        entry->said_at = std::max(entry->said_at, said_at);
+    if (to.rate_limit == limit) {
+        to.said_at = std::max(to.said_at, said_at);
         return false;
     }
-    if (!is_newer(*entry, said_at, limit)) {
+    if (!is_newer(to, said_at, limit)) {
         findings_.insert(told.server);
         return false;
     }
-    entry->said_at = said_at;
-    return set_limit(now, *entry, limit);
+    to.said_at = said_at;
+    return set_limit(now, to, limit);
+}
+
+bool server_conditions::merge(instant now, const server_condition& told)
+{
+    const bool says_something = limit_of(told) || told.leaving;
+    if (!says_something && !processes_.contains(told.server)) {
+        return false;
+    }
+    auto* entry = entry_of(told.server, told.start);
+    if (entry == nullptr) {
+        return false;
+    }
+    const bool begins_to_leave = told.leaving && !entry->leaving;
+    entry->leaving = entry->leaving || told.leaving;
+    return merge_limit(now, *entry, told) || begins_to_leave;
 }
 
 bool server_conditions::on_report(instant now, const server_condition_report& report)
@@ -132,7 +162,8 @@
     }
     std::erase_if(processes_, [&](const auto& entry) {
         const auto& it = entry.second;
-        const bool ended = !it.rate_limit && now - it.said_at > options_.memory;
+        const bool holds = it.rate_limit || it.leaving || now < it.rest_until;
+        const bool ended = !holds && now - it.said_at > options_.memory;
         return ended || (it.unlisted_since && now - *it.unlisted_since > options_.memory);
     });
 }
@@ -150,6 +181,30 @@
                                                   : std::optional{known->limited_since};
 }
 
+bool server_conditions::leaving(const backend_server& process) const
+{
+    const auto* known = find(process);
+    return known != nullptr && known->leaving;
+}
+
+duration server_conditions::rest_left(instant now, const backend_server& process) const
+{
+    const auto* known = find(process);
+    return known == nullptr ? duration{0}
+                            : std::max<duration>(known->rest_until - now, duration{0});
+}
+
+std::vector<server_id> server_conditions::resting(instant now) const
+{
+    std::vector<server_id> out;
+    for (const auto& [id, known] : processes_) {
+        if (now < known.rest_until) {
+            out.push_back(id);
+        }
+    }
+    return out;
+}
+
 std::map<server_id, request_rate>
 server_conditions::rate_limits(const backend_servers& listed) const
 {
@@ -168,6 +223,7 @@
     return {.server = id,
             .start = it.start,
             .rate_limit = it.rate_limit.value_or(request_rate{0}),
+            .leaving = it.leaving,
             .age =
                 static_cast<std::uint64_t>(std::max<duration::rep>((now - it.said_at).count(), 0))};
 }
--- a/src/plugins/entry/caller_listener.cpp
+++ b/src/plugins/entry/caller_listener.cpp
@@ -129,6 +129,16 @@
     }
 }
 
+void caller_listener::on_server_rests(const server_id& server)
+{
+    const auto flows = flows_;
+    for (const auto& it : flows) {
+        if (!it->ended()) {
+            it->on_server_rests(server);
+        }
+    }
+}
+
 void caller_listener::answer_unfinished()
 {
     std::size_t n = 0;
--- a/src/plugins/entry/caller_listener.hpp
+++ b/src/plugins/entry/caller_listener.hpp
@@ -25,6 +25,8 @@
     bool start();
     /// Key owners, servers or the configuration changed.
     void on_view_change();
+    /// The server wants nothing more from this host for a time.
+    void on_server_rests(const server_id& server);
     /// From now on responses carry "Connection: close".
     void set_stopping() { stopping_ = true; }
     /// From now on connections are closed after a short time without a request.
--- a/src/plugins/entry/condition_exchange.cpp
+++ b/src/plugins/entry/condition_exchange.cpp
@@ -23,8 +23,8 @@
 } // namespace
 
 condition_exchange::condition_exchange(host_context context, peers_task& peers,
-                                       std::function<void()> on_change)
-    : context_(std::move(context)), peers_(peers), on_change_(std::move(on_change))
+                                       condition_exchange_hooks hooks)
+    : context_(std::move(context)), peers_(peers), hooks_(std::move(hooks))
 {
 }
 
@@ -43,42 +43,62 @@
         log_event("notice_unreadable",
                   {{"server", process.id.value}, {"header", notice.unreadable}});
     }
-    const auto before = limit_of(process.id);
-    if (context_.view.conditions().on_notice(monotonic_now(), process, sent_at, notice)) {
-        log_limit(process.id, before);
-        on_change_();
+    const std::map<server_id, shared_condition> before{{process.id, condition_of(process.id)}};
+    const auto change =
+        context_.view.conditions().on_notice(monotonic_now(), process, sent_at, notice);
+    if (change.shared) {
+        tell_changes(before);
+    }
+    if (change.rest_began) {
+        log_event("server_rests", {{"server", process.id.value}, {"for", *notice.rest}});
+        hooks_.on_rest(process.id);
     }
 }
 
 void condition_exchange::on_message(const host_id&, const server_condition_report& it)
 {
-    std::map<server_id, request_rate> before;
+    std::map<server_id, shared_condition> before;
     for (const auto& told : it.servers) {
-        before[told.server] = limit_of(told.server);
-    }
-    if (!context_.view.conditions().on_report(monotonic_now(), it)) {
-        return;
+        before[told.server] = condition_of(told.server);
     }
-    for (const auto& [server, limit] : before) {
-        log_limit(server, limit);
+    if (context_.view.conditions().on_report(monotonic_now(), it)) {
+        tell_changes(before);
     }
-    on_change_();
 }
 
-request_rate condition_exchange::limit_of(const server_id& server) const
+condition_exchange::shared_condition condition_exchange::condition_of(const server_id& server) const
 {
     const auto found = context_.view.servers().find(server);
-    return found == context_.view.servers().end()
-               ? request_rate{}
-               : context_.view.conditions().rate_limit(found->second).value_or(request_rate{});
+    if (found == context_.view.servers().end()) {
+        return {};
+    }
+    const auto& conditions = context_.view.conditions();
+    return {.limit = conditions.rate_limit(found->second).value_or(request_rate{}),
+            .leaving = conditions.leaving(found->second)};
 }
 
-void condition_exchange::log_limit(const server_id& server, request_rate before) const
+void condition_exchange::tell_changes(const std::map<server_id, shared_condition>& before) const
 {
-    const auto now = limit_of(server);
-    if (now != before) {
-        log_event("server_limit", {{"server", server.value},
-                                   {"per_second", now.value > 0 ? text_of(now) : "none"}});
+    bool limits = false;
+    bool leaving = false;
+    for (const auto& [server, earlier] : before) {
+        const auto now = condition_of(server);
+        if (now.limit != earlier.limit) {
+            limits = true;
+            log_event("server_limit",
+                      {{"server", server.value},
+                       {"per_second", now.limit.value > 0 ? text_of(now.limit) : "none"}});
+        }
+        if (now.leaving && !earlier.leaving) {
+            leaving = true;
+            log_event("server_leaves", {{"server", server.value}});
+        }
+    }
+    if (limits) {
+        hooks_.on_limits();
+    }
+    if (leaving) {
+        hooks_.on_leaving();
     }
 }
 
@@ -106,12 +126,25 @@
 {
     const auto now = monotonic_now();
     std::ostringstream out;
-    for (const auto& [id, limit] : context_.view.rate_limits()) {
-        const auto& server = context_.view.servers().at(id);
-        const auto since = context_.view.conditions().limited_since(server).value_or(now);
-        out << "server=" << id.value << " service=" << server.service.value
-            << " limit_per_second=" << limit.value
-            << " since_s=" << std::chrono::duration_cast<seconds>(now - since).count() << "\n";
+    const auto& conditions = context_.view.conditions();
+    for (const auto& [id, server] : context_.view.servers()) {
+        const auto limit = conditions.rate_limit(server);
+        const auto rest = conditions.rest_left(now, server);
+        const bool leaving = conditions.leaving(server);
+        if (!limit && !leaving && rest <= duration{0}) {
+            continue;
+        }
+        out << "server=" << id.value << " service=" << server.service.value;
+        if (limit) {
+            const auto since = conditions.limited_since(server).value_or(now);
+            out << " limit_per_second=" << limit->value
+                << " since_s=" << std::chrono::duration_cast<seconds>(now - since).count();
+        }
+        out << (leaving ? " leaving=yes" : "");
+        if (rest > duration{0}) {
+            out << " rest_left_ms=" << rest / millis{1};
+        }
+        out << "\n";
     }
     return out.str();
 }
--- a/src/plugins/entry/condition_exchange.hpp
+++ b/src/plugins/entry/condition_exchange.hpp
@@ -8,29 +8,46 @@
 
 namespace quincewing {
 
+struct condition_exchange_hooks
+{
+    /// The limits of servers changed.
+    std::function<void()> on_limits;
+    /// It is known of a server that it leaves.
+    std::function<void()> on_leaving;
+    /// A server wants nothing more from this host for a time.
+    std::function<void(const server_id&)> on_rest;
+};
+
 /// Keeps what this host knows of the servers' conditions equal to what the other hosts know.
 /// Changes are told to all hosts; all that is known is told when a link is made.
 class condition_exchange
 {
 public:
-    condition_exchange(host_context context, peers_task& peers, std::function<void()> on_change);
+    condition_exchange(host_context context, peers_task& peers, condition_exchange_hooks hooks);
 
     void on_host_connected(const host_id& host);
     void on_notice(const backend_server& process, instant sent_at, const server_notice& notice);
     void on_message(const host_id& from, const server_condition_report& it);
     void tick(instant now);
 
-    /// The servers that limit their rate, one a line, for operators.
+    /// The servers that limit their rate, leave or want rest, one a line, for operators.
     [[nodiscard]] std::string describe() const;
 
 private:
-    /// The limit that the server names; 0: none.
-    [[nodiscard]] request_rate limit_of(const server_id& server) const;
-    void log_limit(const server_id& server, request_rate before) const;
+    struct shared_condition
+    {
+        /// 0: none.
+        request_rate limit;
+        bool leaving{};
+    };
+
+    [[nodiscard]] shared_condition condition_of(const server_id& server) const;
+    /// Logs what changed and calls the hooks for it.
+    void tell_changes(const std::map<server_id, shared_condition>& before) const;
 
     host_context context_;
     peers_task& peers_;
-    std::function<void()> on_change_;
+    condition_exchange_hooks hooks_;
     instant next_report_{};
     instant next_cleanup_{};
 };
--- a/src/plugins/entry/coordination_task.cpp
+++ b/src/plugins/entry/coordination_task.cpp
@@ -153,11 +153,11 @@
 
 void coordination_task::on_servers_or_configuration(instant now)
 {
-    core_.set_servers(now, context_.view.servers(), context_.view.keyed_services());
-    on_conditions();
+    core_.set_servers(now, context_.view.servers_with_own_word(), context_.view.keyed_services());
+    on_limits();
 }
 
-void coordination_task::on_conditions()
+void coordination_task::on_limits()
 {
     core_.set_rate_limits(context_.view.rate_limits());
 }
--- a/src/plugins/entry/coordination_task.hpp
+++ b/src/plugins/entry/coordination_task.hpp
@@ -34,8 +34,8 @@
     [[nodiscard]] bool stopped() const { return core_.stopped(); }
 
     void on_servers_or_configuration(instant now);
-    /// What servers say of themselves changed.
-    void on_conditions();
+    /// The servers' own limits changed.
+    void on_limits();
     void on_host_connected(const host_id& host);
 
     void on_message(const host_id& from, const coordinator_beat& it);
--- a/src/plugins/entry/dispatch_task.cpp
+++ b/src/plugins/entry/dispatch_task.cpp
@@ -343,15 +343,6 @@
     }
 }
 
-void dispatch_task::on_conditions(instant now)
-{
-    for (auto* all : {&dispatchers_, &fallback_dispatchers_}) {
-        for (auto& [id, it] : *all) {
-            apply_limits(now, id, all == &fallback_dispatchers_, it);
-        }
-    }
-}
-
 void dispatch_task::on_host_lost(const host_id& host)
 {
     const auto now = monotonic_now();
--- a/src/plugins/entry/dispatch_task.hpp
+++ b/src/plugins/entry/dispatch_task.hpp
@@ -34,9 +34,8 @@
     /// Returns the slot after use; if it is still requested, withdraws the request.
     void release_slot(std::uint64_t number, const attempt_report& report);
 
+    /// The servers, or what they say of themselves, changed.
     void on_servers(instant now);
-    /// What servers say of themselves changed.
-    void on_conditions(instant now);
     void on_host_lost(const host_id& host);
     /// The host's dispatchers take no more requests; requests that wait there are asked for
     /// elsewhere.
--- a/src/plugins/entry/entry_host.cpp
+++ b/src/plugins/entry/entry_host.cpp
@@ -42,7 +42,7 @@
 
     void on_message(const envelope& it);
     void on_view_change();
-    void on_conditions_change();
+    void on_limits_change();
     void on_host_lost(const host_id& host);
     void tick();
     void continue_shutdown(instant now);
@@ -107,7 +107,11 @@
       coordination(context, peers, follower,
                    {.on_assignment_change = [this] { listener.on_view_change(); }}),
       dispatch(context, peers), crashes(context, peers),
-      conditions(context, peers, [this] { on_conditions_change(); }), connections(context),
+      conditions(context, peers,
+                 {.on_limits = [this] { on_limits_change(); },
+                  .on_leaving = [this] { on_view_change(); },
+                  .on_rest = [this](const server_id& it) { listener.on_server_rests(it); }}),
+      connections(context),
       services{
           .dispatch = dispatch,
           .connections = connections,
@@ -190,11 +194,10 @@
     listener.on_view_change();
 }
 
-void entry_host::tasks::on_conditions_change()
+void entry_host::tasks::on_limits_change()
 {
-    const auto now = monotonic_now();
-    coordination.on_conditions();
-    dispatch.on_conditions(now);
+    coordination.on_limits();
+    dispatch.on_servers(monotonic_now());
 }
 
 void entry_host::tasks::on_host_lost(const host_id& host)
--- a/src/plugins/entry/request_flow.cpp
+++ b/src/plugins/entry/request_flow.cpp
@@ -3,6 +3,7 @@
 #include "http_status.hpp"
 #include "request_properties.hpp"
 
+#include "quincewing/base/hash.hpp"
 #include "quincewing/logging/event_log.hpp"
 
 #include <algorithm>
@@ -18,6 +19,10 @@
 constexpr millis retry_after_key_move{200};
 // Another host can take a request that a stopping host refuses.
 constexpr millis retry_after_stop{0};
+// Share of the time left that a caller waits for the end of a server's rest, and the time over
+// which callers that wait for the same end return.
+constexpr double rest_wait_share = 0.3;
+constexpr millis rest_return_spread{250};
 // For requests without a deadline header.
 constexpr seconds default_deadline{30};
 
@@ -146,6 +151,10 @@
         return;
     }
     const auto owner = context_.view.owner_of(service_, *key_);
+    if (owner_rest_left() > duration{0}) {
+        end_since_owner_rests();
+        return;
+    }
     if (!owner.server.value.empty() && owner.held) {
         request_slot(owner.server);
         return;
@@ -167,6 +176,7 @@
 void request_flow::request_slot(const server_id& required_server)
 {
     stage_ = stage::waiting_for_slot;
+    required_server_ = required_server;
     const auto now = monotonic_now();
     timer_.once(std::max<duration>(deadline_ - now + response_grace, millis{1}));
     const auto size = services_.response_sizes.find(route_->route.name);
@@ -181,6 +191,8 @@
         .time_left = (deadline_ - now).count(),
         .answer_bytes =
             size == services_.response_sizes.end() ? 0 : static_cast<std::uint64_t>(size->second)};
+    const auto resting = context_.view.conditions().resting(now);
+    request.excluded_servers.insert(request.excluded_servers.end(), resting.begin(), resting.end());
     if (!required_server.value.empty()) {
         request.excluded_servers.clear();
     }
@@ -230,11 +242,51 @@
     if (stage_ != stage::waiting_for_slot) {
         return;
     }
+    end_unserved(reason.c_str(), retry_after);
+}
+
+void request_flow::end_unserved(const char* reason, duration retry_after)
+{
     if (verdict_ == verdict::not_run) {
-        refuse(reason.c_str(), retry_after);
+        refuse(reason, retry_after);
+        return;
+    }
+    fail(http_status::bad_gateway, reason);
+}
+
+duration request_flow::owner_rest_left() const
+{
+    if (!key_) {
+        return duration{0};
+    }
+    const auto owner = context_.view.owner_of(service_, *key_);
+    const auto* server = context_.view.find_usable_server(owner.server);
+    return server == nullptr ? duration{0}
+                             : context_.view.conditions().rest_left(monotonic_now(), *server);
+}
+
+// The caller's next request may come to a host that the server takes requests from, so it waits for
+// the end of the rest only if that leaves it enough time. Callers return one after the other.
+void request_flow::end_since_owner_rests()
+{
+    const auto spread = duration{static_cast<duration::rep>(
+        stable_hash(id_) % static_cast<std::uint64_t>(duration{rest_return_spread}.count()))};
+    const auto longest = std::chrono::duration_cast<duration>(time_left() * rest_wait_share);
+    end_unserved("server_rests", std::clamp(owner_rest_left() + spread, duration{millis{50}},
+                                            std::max<duration>(longest, millis{50})));
+}
+
+void request_flow::on_server_rests(const server_id& server)
+{
+    if (stage_ != stage::waiting_for_slot || required_server_ != server || !key_) {
         return;
     }
-    fail(http_status::bad_gateway, reason.c_str());
+    const auto self = shared_from_this();
+    if (slot_number_ != 0) {
+        services_.dispatch.release_slot(std::exchange(slot_number_, 0),
+                                        {.outcome = attempt_outcome::unused});
+    }
+    find_server();
 }
 
 // Asked again before each send, since another host may have learned of it meanwhile.
@@ -244,11 +296,7 @@
     if (left <= duration{0}) {
         return false;
     }
-    if (verdict_ == verdict::not_run) {
-        refuse("quarantined", left);
-    } else {
-        fail(http_status::bad_gateway, "quarantined");
-    }
+    end_unserved("quarantined", left);
     return true;
 }
 
@@ -265,7 +313,9 @@
     if (reject_if_quarantined()) {
         return;
     }
-    if (found == nullptr || !owns) {
+    const bool rests = found != nullptr &&
+                       context_.view.conditions().rest_left(monotonic_now(), *found) > duration{0};
+    if (found == nullptr || !owns || rests) {
         services_.dispatch.release_slot(std::exchange(slot_number_, 0),
                                         {.outcome = attempt_outcome::unused});
         if (++owner_misses_ > max_owner_misses) {
@@ -312,11 +362,7 @@
 void request_flow::refuse_unsent()
 {
     const auto self = shared_from_this();
-    if (verdict_ == verdict::not_run) {
-        refuse("host_stops", retry_after_stop);
-        return;
-    }
-    fail(http_status::bad_gateway, "host_stops");
+    end_unserved("host_stops", retry_after_stop);
 }
 
 void request_flow::give_up()
--- a/src/plugins/entry/request_flow.hpp
+++ b/src/plugins/entry/request_flow.hpp
@@ -31,6 +31,8 @@
     void start();
     /// Key owners, servers or the configuration changed.
     void on_view_change();
+    /// The server wants nothing more from this host for a time.
+    void on_server_rests(const server_id& server);
     [[nodiscard]] bool ended() const { return ended_; }
     /// It has no slot at a server: it waits for one, or for an owner of its key.
     [[nodiscard]] bool waiting() const;
@@ -58,6 +60,11 @@
     /// Rejects the request if it crashes servers.
     [[nodiscard]] bool reject_if_quarantined();
     void on_slot_refused(duration retry_after, const std::string& reason);
+    /// Ends a request that is at no server: refused if it cannot have run.
+    void end_unserved(const char* reason, duration retry_after);
+    /// Time for which the owner of the key wants nothing from this host; zero: none.
+    [[nodiscard]] duration owner_rest_left() const;
+    void end_since_owner_rests();
     void send();
     void on_sent();
     [[nodiscard]] bool server_still_usable() const;
@@ -107,6 +114,8 @@
     stage stage_{stage::waiting_for_owner};
     /// Number of the slot request; 0: none.
     std::uint64_t slot_number_{};
+    /// The owner of the key from which the slot is requested; empty without a key.
+    server_id required_server_;
     backend_server server_;
     std::unique_ptr<client_connection> connection_;
     send_history history_;
--- a/src/plugins/entry/request_flow_server.cpp
+++ b/src/plugins/entry/request_flow_server.cpp
@@ -73,12 +73,13 @@
     history_.on_sent(server_.id);
 }
 
-// While the connection was being established, the server may have announced that it stops, or
-// been replaced by a new process.
+// While the connection was being established, the server may have announced that it stops, asked
+// this host for rest, or been replaced by a new process.
 bool request_flow::server_still_usable() const
 {
     const auto* now = context_.view.find_usable_server(server_.id);
-    return now != nullptr && now->start == server_.start;
+    return now != nullptr && now->start == server_.start &&
+           context_.view.conditions().rest_left(monotonic_now(), *now) <= duration{0};
 }
 
 server_process request_flow::process() const
@@ -310,6 +311,10 @@
         refuse_unsent();
         return;
     }
+    if (owner_rest_left() > duration{0}) {
+        end_since_owner_rests();
+        return;
+    }
     const bool attempts_left = history_.may_send_again();
     const bool in_time = time_left() > millis{20};
     const bool within_budget = attempts_left && in_time &&
@@ -322,11 +327,7 @@
                         {"left", time_left()},
                         {"allowed", attempts_left && in_time && within_budget ? "yes" : "no"}});
     if (!attempts_left || !in_time || !within_budget) {
-        if (verdict_ == verdict::not_run) {
-            refuse(why, millis{150});
-        } else {
-            fail(http_status::bad_gateway, why);
-        }
+        end_unserved(why, millis{150});
         return;
     }
     find_server();
--- a/tests/auto/deployment/server_conditions_test.cpp
+++ b/tests/auto/deployment/server_conditions_test.cpp
@@ -19,14 +19,14 @@
 TEST_CASE("server conditions: a limit holds until an answer without it")
 {
     server_conditions conditions;
-    CHECK_FALSE(conditions.on_notice(start, process, start, {}));
-    CHECK(conditions.on_notice(start, process, start - millis{100}, limit_of(2)));
+    CHECK_FALSE(conditions.on_notice(start, process, start, {}).shared);
+    CHECK(conditions.on_notice(start, process, start - millis{100}, limit_of(2)).shared);
     CHECK(conditions.rate_limit(process) == request_rate{2});
     CHECK(conditions.limited_since(process) == start);
     // Sent before the limit was named: the server may have answered before.
-    CHECK_FALSE(conditions.on_notice(start + millis{50}, process, start - millis{50}, {}));
+    CHECK_FALSE(conditions.on_notice(start + millis{50}, process, start - millis{50}, {}).shared);
     CHECK(conditions.rate_limit(process) == request_rate{2});
-    CHECK(conditions.on_notice(start + millis{200}, process, start + millis{100}, {}));
+    CHECK(conditions.on_notice(start + millis{200}, process, start + millis{100}, {}).shared);
     CHECK_FALSE(conditions.rate_limit(process));
 }
 
@@ -45,10 +45,11 @@
 TEST_CASE("server conditions: a limit that cannot be read neither sets nor ends one")
 {
     server_conditions conditions;
-    const server_notice unreadable{.unreadable = "Limit: many"};
-    CHECK_FALSE(conditions.on_notice(start, process, start, unreadable));
+    const server_notice unreadable{.rate_limit_unreadable = true, .unreadable = "Limit: many"};
+    CHECK_FALSE(conditions.on_notice(start, process, start, unreadable).shared);
     conditions.on_notice(start, process, start, limit_of(2));
-    CHECK_FALSE(conditions.on_notice(start + seconds{1}, process, start + millis{900}, unreadable));
+    CHECK_FALSE(
+        conditions.on_notice(start + seconds{1}, process, start + millis{900}, unreadable).shared);
     CHECK(conditions.rate_limit(process) == request_rate{2});
 }
 
@@ -56,7 +57,7 @@
 {
     server_conditions conditions;
     conditions.on_notice(start, process, start, limit_of(2));
-    CHECK_FALSE(conditions.on_notice(start + seconds{1}, process, {}, {}));
+    CHECK_FALSE(conditions.on_notice(start + seconds{1}, process, {}, {}).shared);
     CHECK(conditions.rate_limit(process) == request_rate{2});
 }
 
@@ -69,7 +70,7 @@
     conditions.on_notice(start, next, start, limit_of(3));
     CHECK(conditions.rate_limit(next) == request_rate{3});
     // Of the former process nothing is taken any more.
-    CHECK_FALSE(conditions.on_notice(start, process, start, limit_of(1)));
+    CHECK_FALSE(conditions.on_notice(start, process, start, limit_of(1)).shared);
     CHECK(conditions.rate_limit(next) == request_rate{3});
 }
 
@@ -135,3 +136,46 @@
     }
     CHECK(conditions.size() == 2);
 }
+
+TEST_CASE(
+    "server conditions: a process that leaves is known to all hosts, its next start is not bound")
+{
+    server_conditions first;
+    server_conditions second;
+    CHECK(first.on_notice(start, process, {}, {.leaving = true}).shared);
+    CHECK(first.leaving(process));
+    CHECK_FALSE(first.on_notice(start, process, start, {.leaving = true}).shared);
+    const auto found = first.take_findings(start);
+    REQUIRE(found);
+    CHECK(second.on_report(start, *found));
+    CHECK(second.leaving(process));
+    // An answer that was given before does not take it back.
+    first.on_notice(start + seconds{1}, process, start - seconds{1}, {});
+    CHECK(first.leaving(process));
+    CHECK_FALSE(first.leaving({.id = process.id, .start = server_start{2}}));
+    first.forget_old(start + seconds{900}, {{process.id, process}});
+    CHECK(first.leaving(process));
+}
+
+TEST_CASE("server conditions: rest binds the host that was turned away, to the latest end")
+{
+    server_conditions conditions;
+    CHECK(conditions.on_notice(start, process, start, {.rest = seconds{3}}).rest_began);
+    CHECK_FALSE(conditions.take_findings(start));
+    CHECK(conditions.rest_left(start + seconds{1}, process) == seconds{2});
+    const auto shorter =
+        conditions.on_notice(start + seconds{1}, process, start, {.rest = millis{500}});
+    CHECK_FALSE(shorter.rest_began);
+    CHECK(conditions.rest_left(start + seconds{1}, process) == seconds{2});
+    conditions.on_notice(start + seconds{2}, process, start, {.rest = seconds{3}});
+    CHECK(conditions.rest_left(start + seconds{4}, process) == seconds{1});
+    CHECK(conditions.resting(start + seconds{4}) == std::vector{process.id});
+    CHECK(conditions.rest_left(start + seconds{5}, process) == duration{0});
+    CHECK(conditions.resting(start + seconds{5}).empty());
+    const backend_server next{.id = process.id, .start = server_start{2}};
+    CHECK(conditions.rest_left(start + seconds{4}, next) == duration{0});
+    conditions.forget_old(start + seconds{4}, {{process.id, process}});
+    CHECK(conditions.size() == 1);
+    conditions.forget_old(start + seconds{63}, {{process.id, process}});
+    CHECK(conditions.size() == 0);
+}
