Bytes without end: a response is cut a second after the caller's deadline, a refusal's body at 64 KiB

Seen by callers: a response that never ends. Cause: a response that had begun was passed on without a bound of time; the body of a refusal or of a server's error was kept whole; interim responses were read for ever. Change: bounds for the three. A refusal that is too long counts as not run, all else as it did.

--- a/include/quincewing/http/client_connection.hpp
+++ b/include/quincewing/http/client_connection.hpp
@@ -6,6 +6,7 @@
 
 #include <cstddef>
 #include <functional>
+#include <optional>
 #include <string>
 
 struct bufferevent;
@@ -24,6 +25,8 @@
     closed,
     /// The received bytes were not a valid HTTP response.
     malformed,
+    /// The body exceeds the limit that was set for it.
+    too_long,
     /// may_send returned false, so that no byte of the request was sent.
     withdrawn
 };
@@ -77,6 +80,8 @@
     /// Sends a request once the connection is established. response_has_body is false for HEAD.
     void send(const std::string& head, const std::string& body, bool response_has_body,
               client_connection_hooks hooks);
+    /// To be called in on_head: a longer body ends the connection with too_long.
+    void set_body_limit(std::size_t bytes) { body_limit_ = bytes; }
     /// Pauses or resumes reading from the socket, for flow control.
     void set_reading(bool on);
     /// Resets the connection and discards bytes in flight. No hook is called afterwards.
@@ -120,6 +125,10 @@
     bool busy_{};
     bool sent_{};
     bool skipping_{};
+    /// Responses before the one to the request, and bytes of its body.
+    std::size_t skipped_{};
+    std::size_t body_bytes_{};
+    std::optional<std::size_t> body_limit_;
     bool reusable_{true};
     bool response_has_body_{true};
 };
--- a/src/libs/http/client_connection.cpp
+++ b/src/libs/http/client_connection.cpp
@@ -15,6 +15,9 @@
 
 namespace {
 
+// Interim responses, and late ones to earlier requests, before the response to the request.
+constexpr std::size_t max_skipped = 32;
+
 duration parse_keep_alive_timeout(const header_list& headers)
 {
     const auto* value = find_header(headers, "Keep-Alive");
@@ -40,6 +43,8 @@
         return "closed";
     case connection_loss::malformed:
         return "malformed";
+    case connection_loss::too_long:
+        return "too_long";
     case connection_loss::withdrawn:
         return "withdrawn";
     }
@@ -56,6 +61,7 @@
                    },
                .on_body =
                    [this](const char* buf, std::size_t n) {
+                       body_bytes_ += n;
                        if (!skipping_ && hooks_.on_body) {
                            hooks_.on_body(buf, n);
                        }
@@ -138,6 +144,9 @@
     busy_ = true;
     sent_ = false;
     response_has_body_ = response_has_body;
+    skipped_ = 0;
+    body_bytes_ = 0;
+    body_limit_.reset();
     pending_ = head;
     pending_ += body;
     if (connected_) {
@@ -181,6 +190,10 @@
             return;
         }
         const auto result = reader_.read(in);
+        if (bev_ != nullptr && body_limit_ && body_bytes_ > *body_limit_) {
+            fail(connection_loss::too_long);
+            return;
+        }
         if (bev_ == nullptr || result == read_result::need_more) {
             return;
         }
@@ -192,6 +205,10 @@
             complete_response();
             return;
         }
+        if (++skipped_ > max_skipped) {
+            fail(connection_loss::malformed);
+            return;
+        }
     }
 }
 
--- a/src/plugins/entry/request_flow.cpp
+++ b/src/plugins/entry/request_flow.cpp
@@ -115,7 +115,8 @@
     const auto header_ms = integer_header(head.headers, context_.platform.names.time_left);
     const duration caller_timeout =
         header_ms ? duration{millis{*header_ms}} : duration{default_deadline};
-    deadline_ = exchange_->arrived + std::min(caller_timeout, route_->route.timeout);
+    caller_deadline_ = exchange_->arrived + caller_timeout;
+    deadline_ = std::min(caller_deadline_, exchange_->arrived + route_->route.timeout);
     fingerprint_ = fingerprint_of(*exchange_);
     if (reject_if_quarantined()) {
         return;
@@ -343,7 +344,7 @@
         return;
     }
     if (relaying_) {
-        // A response that has begun is delivered in full even after the deadline.
+        end_overlong_response();
         return;
     }
     const bool at_server = stage_ == stage::at_server;
@@ -358,6 +359,24 @@
     fail(http_status::gateway_timeout, "timeout");
 }
 
+// A response that has begun is delivered in full even after the deadline, but a server may send
+// without end.
+void request_flow::end_overlong_response()
+{
+    const auto left = caller_deadline_ + relay_grace - monotonic_now();
+    if (left > duration{0}) {
+        timer_.once(left);
+        return;
+    }
+    log_event("answer_without_end", {{"request", id_}, {"server", server_.id.value}});
+    if (connection_) {
+        connection_->abort();
+    }
+    leave_server(attempt_outcome::failed, false);
+    exchange_->abort();
+    finish(response_.status, "answer_without_end");
+}
+
 // A request that was sent once may have run, although it is at no server now.
 void request_flow::refuse_unsent()
 {
--- a/src/plugins/entry/request_flow.hpp
+++ b/src/plugins/entry/request_flow.hpp
@@ -78,6 +78,8 @@
     void on_end(bool reusable);
     void on_lost(connection_loss how);
     void on_timeout();
+    /// Ends a response that is still being relayed well after the caller's deadline.
+    void end_overlong_response();
     void on_caller_disconnect();
 
     void begin_response();
@@ -96,6 +98,10 @@
 
     /// Added to the deadline, since a response that was sent just before it may be in flight.
     static constexpr millis response_grace{80};
+    /// Time after the caller's deadline by which a response that has begun must be complete.
+    static constexpr millis relay_grace{1000};
+    /// Bytes of a response that are read only to keep the connection.
+    static constexpr std::size_t max_ignored_body = 64UL * 1024;
     /// Times that a request is sent on to another owner of its key.
     static constexpr int max_owner_misses = 3;
 
@@ -111,6 +117,7 @@
     std::uint64_t fingerprint_{};
     /// The caller's deadline or the end of the route's timeout, whichever is earlier.
     instant deadline_;
+    instant caller_deadline_;
     stage stage_{stage::waiting_for_owner};
     /// Number of the slot request; 0: none.
     std::uint64_t slot_number_{};
--- a/src/plugins/entry/request_flow_server.cpp
+++ b/src/plugins/entry/request_flow_server.cpp
@@ -122,6 +122,7 @@
     const bool marked_not_run = find_header(response_.headers, names.not_run) != nullptr;
     if (marked_not_run || response_.status == http_status::misdirected) {
         report_.outcome = attempt_outcome::rejected;
+        connection_->set_body_limit(max_ignored_body);
         return head_action::accept;
     }
     report_.outcome = response_.status >= http_status::server_error ? attempt_outcome::failed
@@ -189,9 +190,11 @@
         }
         return;
     }
+    if (report_.outcome == attempt_outcome::rejected) {
+        return;
+    }
     buffered_body_.append(buf, n);
-    const bool succeeded = report_.outcome == attempt_outcome::answered;
-    if (succeeded && buffered_body_.size() > context_.settings.held_answer) {
+    if (buffered_body_.size() > context_.settings.held_answer) {
         begin_response();
     }
 }
@@ -249,6 +252,10 @@
 void request_flow::on_lost(connection_loss how)
 {
     const auto self = shared_from_this();
+    if (how == connection_loss::too_long && report_.outcome == attempt_outcome::rejected) {
+        on_end(false);
+        return;
+    }
     const bool sent = connection_ && connection_->sent();
     const auto took = monotonic_now() - sent_at_;
     report_.took = static_cast<std::uint64_t>(took.count());
--- a/tests/failures/process_fleet.hpp
+++ b/tests/failures/process_fleet.hpp
@@ -26,6 +26,7 @@
     int wait();
     /// Whether it has ended by itself.
     [[nodiscard]] bool ended();
+    [[nodiscard]] pid_t id() const { return pid_; }
 
 private:
     pid_t pid_{-1};
