What answers to grants and releases say of their server is heeded too

Cause: the coordinator's calls had no way to hand on what an answer says of its server, so that a server without requests was known to leave only by the store. Such an answer can begin a limit, but end none.

--- a/include/quincewing/deployment/deployment_api.hpp
+++ b/include/quincewing/deployment/deployment_api.hpp
@@ -15,15 +15,23 @@
 
 struct message_head;
 
+/// How a call that grants keys or takes them back ended.
+struct key_call_result
+{
+    call_outcome outcome{call_outcome::unknown};
+    /// The connection that carried the call.
+    connection_number connection;
+    /// The server's proof of an orderly release; may be empty.
+    std::string handoff;
+    /// What the answer says of the server.
+    server_notice notice;
+};
+
 /// Calls that grant keys to backend servers and take them back.
 struct key_api
 {
-    /// The callback gets the number of the connection that carried the call.
-    std::function<void(const grant_keys&, std::function<void(call_outcome, connection_number)>)>
-        grant;
-    /// The callback gets the server's proof of an orderly release, which may be empty.
-    std::function<void(const release_keys&, std::function<void(call_outcome, std::string)>)>
-        release;
+    std::function<void(const grant_keys&, std::function<void(const key_call_result&)>)> grant;
+    std::function<void(const release_keys&, std::function<void(const key_call_result&)>)> release;
 };
 
 /// Everything that depends on the platform, expressed in platform-independent types.
--- a/src/plugins/entry/coordination_task.cpp
+++ b/src/plugins/entry/coordination_task.cpp
@@ -223,36 +223,49 @@
 
 void coordination_task::execute(const grant_keys& it)
 {
-    context_.platform.keys.grant(
-        it, [this, it](call_outcome outcome, connection_number connection) {
-            const auto now = monotonic_now();
-            if (outcome != call_outcome::accepted) {
-                log_event("grant_failed", {{"server", it.holder.id.value},
-                                           {"keys", format_keys(it.keys)},
-                                           {"fence", it.fence},
-                                           {"outcome", static_cast<int>(outcome)}});
-            }
-            core_.on_call(now, it.number, outcome, "", connection);
-            refresh_held(now);
-            broadcast_if_changed();
-        });
+    context_.platform.keys.grant(it, [this, it](const key_call_result& result) {
+        const auto now = monotonic_now();
+        if (result.outcome != call_outcome::accepted) {
+            log_event("grant_failed", {{"server", it.holder.id.value},
+                                       {"keys", format_keys(it.keys)},
+                                       {"fence", it.fence},
+                                       {"outcome", static_cast<int>(result.outcome)}});
+        }
+        tell_notice(it.holder, result);
+        core_.on_call(now, it.number, result.outcome, "", result.connection);
+        refresh_held(now);
+        broadcast_if_changed();
+    });
 }
 
 void coordination_task::execute(const release_keys& it)
 {
-    context_.platform.keys.release(it, [this, it](call_outcome outcome, std::string handoff) {
+    context_.platform.keys.release(it, [this, it](const key_call_result& result) {
         const auto now = monotonic_now();
-        if (outcome != call_outcome::accepted) {
+        if (result.outcome != call_outcome::accepted) {
             log_event("release_failed", {{"server", it.holder.id.value},
                                          {"keys", format_keys(it.keys)},
                                          {"fence", it.fence},
-                                         {"outcome", static_cast<int>(outcome)}});
+                                         {"outcome", static_cast<int>(result.outcome)}});
         }
-        core_.on_call(now, it.number, outcome, std::move(handoff), {});
+        tell_notice(it.holder, result);
+        core_.on_call(now, it.number, result.outcome, result.handoff, {});
         execute_effects();
     });
 }
 
+// Whoever has the address answers a call; only the process that holds the keys accepts it. An
+// answer that does not name a limit ends none: it is no answer to a request.
+void coordination_task::tell_notice(const key_holder& to, const key_call_result& result)
+{
+    const auto found = context_.view.servers().find(to.id);
+    if (result.outcome != call_outcome::accepted || found == context_.view.servers().end() ||
+        found->second.start != to.start) {
+        return;
+    }
+    hooks_.on_notice(found->second, result.notice);
+}
+
 // ---- this host's view of the assignment
 
 void coordination_task::publish_table(instant now)
--- a/src/plugins/entry/coordination_task.hpp
+++ b/src/plugins/entry/coordination_task.hpp
@@ -16,6 +16,8 @@
 {
     /// The owner of some keys changed, or whether its grant is in force.
     std::function<void()> on_assignment_change;
+    /// What the answer to a grant or release says of its server.
+    std::function<void(const backend_server&, const server_notice&)> on_notice;
 };
 
 /// Executes the effects of this host's coordinator. While this host coordinates, broadcasts the
@@ -58,6 +60,7 @@
     void execute(const append_table& it);
     void execute(const grant_keys& it);
     void execute(const release_keys& it);
+    void tell_notice(const key_holder& to, const key_call_result& result);
     void publish_table(instant now);
     void refresh_held(instant now);
     [[nodiscard]] coordinator_beat current_versions(instant now) const;
--- a/src/plugins/entry/entry_host.cpp
+++ b/src/plugins/entry/entry_host.cpp
@@ -105,7 +105,11 @@
       follower(context, {.on_servers = [this] { on_view_change(); },
                          .on_configuration = [this] { on_view_change(); }}),
       coordination(context, peers, follower,
-                   {.on_assignment_change = [this] { listener.on_view_change(); }}),
+                   {.on_assignment_change = [this] { listener.on_view_change(); },
+                    .on_notice =
+                        [this](const backend_server& server, const server_notice& notice) {
+                            conditions.on_notice(server, {}, notice);
+                        }}),
       dispatch(context, peers), crashes(context, peers),
       conditions(context, peers,
                  {.on_limits = [this] { on_limits_change(); },
--- a/tests/auto/entry/small_deployment.cpp
+++ b/tests/auto/entry/small_deployment.cpp
@@ -91,10 +91,10 @@
         call_later([result, done = std::move(done)] { done(result); });
     };
     out.keys.grant = [](const grant_keys&, const auto& done) {
-        done(call_outcome::not_sent, connection_number{});
+        done({.outcome = call_outcome::not_sent});
     };
     out.keys.release = [](const release_keys&, const auto& done) {
-        done(call_outcome::not_sent, "");
+        done({.outcome = call_outcome::not_sent});
     };
     out.names = {.request_id = "X-Request",
                  .time_left = "X-Time-Left",
