--- a/src/plugins/entry/coordination_task.cpp
+++ b/src/plugins/entry/coordination_task.cpp
@@ -2,7 +2,6 @@
 
 #include "quincewing/base/hash.hpp"
 #include "quincewing/logging/event_log.hpp"
-#include "quincewing/wire/told_beat.hpp"
 
 #include <algorithm>
 #include <variant>
@@ -19,10 +18,6 @@
 // The same when the coordinator's own reads of the store are older than this.
 constexpr millis max_servers_age{1600};
 constexpr millis max_configuration_age{4000};
-constexpr millis state_request_interval{150};
-// A broadcast costs the coordinator link and CPU time for each host, so changes are batched for
-// this long per connected host.
-constexpr millis broadcast_interval_per_host{1};
 // Key of the only record in the assignment stream.
 constexpr const char* table_key = "table";
 
@@ -31,11 +26,6 @@
     return std::to_string(it.first) + "-" + std::to_string(it.last);
 }
 
-std::uint64_t to_micros(duration it)
-{
-    return static_cast<std::uint64_t>(std::max<duration::rep>(it.count(), 0));
-}
-
 append_outcome to_append_outcome(store_status it)
 {
     switch (it) {
@@ -306,207 +296,6 @@
     hooks_.on_assignment_change();
 }
 
-// ---- state sent to other hosts
-
-coordinator_beat coordination_task::current_versions(instant now) const
-{
-    return {.term = core_.table().term,
-            .table_revision = core_.table().revision,
-            .held_revision = held_revision_,
-            .servers_read = follower_.directory().read_offset().value,
-            .servers_changed = follower_.directory().changed_offset().value,
-            .configuration = context_.view.routes().current().version.value,
-            .table_age = to_micros(now - core_.last_read()),
-            .servers_age = to_micros(follower_.servers_age(now)),
-            .configuration_age = to_micros(follower_.configuration_age(now))};
-}
-
-void coordination_task::send_heartbeats(instant now)
-{
-    const auto beat = told_beat(current_versions(now), last_broadcast_);
-    for (const auto& host : peers_.connected_hosts()) {
-        peers_.send(host, beat);
-    }
-}
-
-// Broadcasts a change at once unless the previous broadcast was too recent. A host that missed one
-// sees that from the next heartbeat and requests the full state.
-void coordination_task::broadcast_if_changed()
-{
-    const auto now = monotonic_now();
-    if (!core_.coordinating() || now < next_broadcast_) {
-        return;
-    }
-    const auto current = current_versions(now);
-    const bool changed = current.term != last_broadcast_.term ||
-                         current.table_revision != last_broadcast_.table_revision ||
-                         current.held_revision != last_broadcast_.held_revision ||
-                         current.servers_changed != last_broadcast_.servers_changed ||
-                         current.configuration != last_broadcast_.configuration;
-    if (!changed) {
-        return;
-    }
-    next_broadcast_ =
-        now + broadcast_interval_per_host * static_cast<int>(peers_.connected_hosts().size());
-    broadcast_changes(current);
-    last_broadcast_ = current;
-    broadcast_table_ = core_.table();
-    broadcast_servers_ = follower_.directory().servers();
-    broadcast_held_ = held_;
-}
-
-void coordination_task::broadcast_changes(const coordinator_beat& current)
-{
-    coordinator_news it{.versions = current};
-    const bool table_changed = current.term != last_broadcast_.term ||
-                               current.table_revision != last_broadcast_.table_revision;
-    if (table_changed) {
-        it.table_changes = diff_tables(broadcast_table_, core_.table());
-    }
-    if (table_changed || current.held_revision != last_broadcast_.held_revision) {
-        it.held = held_;
-    }
-    if (current.servers_changed != last_broadcast_.servers_changed) {
-        it.servers_changes = difference(last_broadcast_.servers_changed, broadcast_servers_,
-                                        follower_.directory().servers());
-    }
-    const auto& record = follower_.configuration_record();
-    if (record.value && current.configuration != last_broadcast_.configuration) {
-        it.configuration = record.value;
-        it.configuration_key = record.key;
-    }
-    for (const auto& host : peers_.connected_hosts()) {
-        peers_.send(host, it);
-    }
-}
-
-void coordination_task::send_full_state(const host_id& to)
-{
-    coordinator_news it{.versions = told_beat(current_versions(monotonic_now()), last_broadcast_),
-                        .table = broadcast_table_,
-                        .held = broadcast_held_,
-                        .servers = std::vector<backend_server>{}};
-    for (const auto& [id, server] : broadcast_servers_) {
-        it.servers->push_back(server);
-    }
-    if (const auto& record = follower_.configuration_record(); record.value) {
-        it.configuration = record.value;
-        it.configuration_key = record.key;
-    }
-    peers_.send(to, it);
-}
-
-void coordination_task::on_host_connected(const host_id& host)
-{
-    if (core_.coordinating()) {
-        broadcast_if_changed();
-        send_full_state(host);
-    }
-}
-
-void coordination_task::on_message(const host_id& from, const coordinator_beat& it)
-{
-    const auto now = monotonic_now();
-    const auto& table = core_.table();
-    if (it.term < table.term || core_.coordinating()) {
-        return;
-    }
-    coordinator_host_ = from;
-    last_message_at_ = now;
-    const bool same_servers = it.servers_changed == follower_.directory().changed_offset().value;
-    const bool behind =
-        it.term != table.term || it.table_revision != table.revision ||
-        it.held_revision != coordinator_versions_.held_revision ||
-        follower_.directory().behind(log_offset{it.servers_read}, log_offset{it.servers_changed}) ||
-        it.configuration > context_.view.routes().current().version.value;
-    if (same_servers) {
-        follower_.confirm_servers(log_offset{it.servers_read});
-    }
-    const auto held_revision = coordinator_versions_.held_revision;
-    coordinator_versions_ = it;
-    coordinator_versions_.held_revision = held_revision;
-    if (!behind) {
-        core_.on_coordinator_heartbeat(now, table, duration{it.table_age});
-    } else if (now >= next_state_request_) {
-        next_state_request_ = now + state_request_interval;
-        peers_.send(from, news_request{.term = it.term});
-    }
-}
-
-void coordination_task::on_message(const host_id& from, const news_request&)
-{
-    if (core_.coordinating()) {
-        broadcast_if_changed();
-        send_full_state(from);
-    }
-}
-
-void coordination_task::on_message(const host_id& from, const coordinator_news& it)
-{
-    const auto now = monotonic_now();
-    if (it.versions.term < core_.table().term) {
-        return;
-    }
-    apply_table_update(now, it);
-    if (core_.coordinating()) {
-        return;
-    }
-    coordinator_host_ = from;
-    last_message_at_ = now;
-    const auto held_revision = coordinator_versions_.held_revision;
-    coordinator_versions_ = it.versions;
-    publish_table(now);
-    const bool same_table = it.versions.table_revision == core_.table().revision &&
-                            it.versions.term == core_.table().term;
-    if (it.held && same_table && it.held->size() == core_.table().ranges.size()) {
-        held_ = *it.held;
-        for (std::size_t i = 0; i < held_.size(); ++i) {
-            if (held_[i] != 0) {
-                core_.note_released(core_.table().ranges[i]);
-            }
-        }
-        context_.view.apply_table(core_.table(), held_);
-        hooks_.on_assignment_change();
-    } else if (it.held) {
-        // The revision stays behind, so the next heartbeat makes this host request the full state.
-        coordinator_versions_.held_revision = held_revision;
-    }
-    apply_servers_update(it);
-    if (it.configuration) {
-        follower_.on_relayed_configuration(
-            {.key = it.configuration_key, .value = it.configuration});
-    }
-}
-
-// Ignores changes against a base that this host does not have; the next heartbeat then makes it
-// request the full state.
-void coordination_task::apply_table_update(instant now, const coordinator_news& it)
-{
-    auto table = it.table;
-    if (!table && it.table_changes) {
-        table = apply_table_change(core_.table(), *it.table_changes);
-    }
-    if (table) {
-        core_.on_coordinator_heartbeat(now, *table, duration{it.versions.table_age});
-        execute_effects();
-    }
-}
-
-void coordination_task::apply_servers_update(const coordinator_news& it)
-{
-    const auto& own = follower_.directory();
-    auto servers = it.servers;
-    const bool applicable = own.relayed() && it.servers_changes &&
-                            it.servers_changes->from == own.changed_offset().value;
-    if (!servers && applicable) {
-        servers = apply_server_changes(own.servers(), *it.servers_changes);
-    }
-    if (servers) {
-        follower_.on_relayed_servers(*servers, log_offset{it.versions.servers_read},
-                                     log_offset{it.versions.servers_changed});
-    }
-}
-
 // ---- load reports
 
 void coordination_task::record_request(const service_id& service, key_number key)
@@ -517,7 +306,7 @@
 void coordination_task::record_service_time(const server_id& server, duration took)
 {
     auto& sum = service_times_[server];
-    sum.total_us += to_micros(took);
+    sum.total_us += static_cast<std::uint64_t>(std::max<duration::rep>(took.count(), 0));
     ++sum.count;
 }
 
--- a/src/plugins/entry/dispatch_task.cpp
+++ b/src/plugins/entry/dispatch_task.cpp
@@ -70,41 +70,6 @@
     return out;
 }
 
-// Each host lends its part of a server's limit to the dispatcher that it asks. All hosts that are
-// connected ask the same one, so that the parts add up to no more than the limit when hosts lose
-// sight of each other. A host that is asked though another one should be cannot know who else
-// asks, and takes only its own part. A fallback dispatcher has none, as those who asked in vain may
-// be many.
-double dispatch_task::limit_share(const group_id& id, bool fallback) const
-{
-    if (fallback) {
-        return 0;
-    }
-    const auto known = static_cast<double>(peers_.known_hosts() + 1);
-    const bool own = dispatcher_host_of(id) == context_.self;
-    const auto lent = own ? static_cast<double>(peers_.connected_hosts().size() + 1) : 1.0;
-    return std::min(lent / known, 1.0);
-}
-
-void dispatch_task::apply_limits(instant now, const group_id& id, bool fallback,
-                                 dispatcher& to) const
-{
-    std::map<server_id, request_rate> limits;
-    for (const auto& server : servers_of(id)) {
-        if (const auto limit = context_.view.conditions().rate_limit(server)) {
-            limits[server.id] = *limit;
-        }
-    }
-    if (limits.empty() && !to.limited()) {
-        return;
-    }
-    const auto share = limit_share(id, fallback);
-    for (auto& [server, limit] : limits) {
-        limit.value *= share;
-    }
-    to.set_rate_limits(now, limits);
-}
-
 std::uint64_t dispatch_task::request_slot(dispatch_request request, slot_hooks hooks)
 {
     const auto number = next_number_++;
--- a/src/plugins/entry/dispatch_task.hpp
+++ b/src/plugins/entry/dispatch_task.hpp
@@ -88,7 +88,7 @@
     }
     dispatcher& get_dispatcher(const group_id& id, bool fallback);
     /// The part of a server's own limit that a dispatcher of this host may use.
-    [[nodiscard]] double limit_share(const group_id& id, bool fallback) const;
+    [[nodiscard]] double limit_share_of(const group_id& id, bool fallback) const;
     void apply_limits(instant now, const group_id& id, bool fallback, dispatcher& to) const;
     [[nodiscard]] static dispatch_request with_time_left(const pending_request& it, instant now);
     /// Whether it waits for a slot from another host's dispatcher.
--- a/src/plugins/entry/request_flow.hpp
+++ b/src/plugins/entry/request_flow.hpp
@@ -96,6 +96,8 @@
     [[nodiscard]] duration time_left() const;
     [[nodiscard]] const std::string& id() const { return id_; }
 
+    /// Retry-After value: keys that move have their new owner within a fraction of a second.
+    static constexpr millis retry_after_key_move{200};
     /// Added to the deadline, since a response that was sent just before it may be in flight.
     static constexpr millis response_grace{80};
     /// Time after the caller's deadline by which a response that has begun must be complete.
--- a/tests/auto/dispatch/rate_limit_test.cpp
+++ b/tests/auto/dispatch/rate_limit_test.cpp
@@ -1,4 +1,5 @@
 #include "quincewing/dispatch/dispatcher.hpp"
+#include "quincewing/dispatch/limit_share.hpp"
 #include "quincewing/dispatch/rate_bucket.hpp"
 
 #include "test_options.hpp"
@@ -153,6 +154,19 @@
     CHECK(to_limited >= 8);
 }
 
+TEST_CASE("rate limit: all servers of a service limit theirs")
+{
+    dispatcher target;
+    target.set_servers({server_of("s1"), server_of("s2")});
+    target.set_rate_limits(
+        start, {{server_id{"s1"}, request_rate{1}}, {server_id{"s2"}, request_rate{2}}});
+    auto now = start;
+    const auto result = submit_for(target, now, seconds{10}, 20, "");
+    CHECK(result.granted >= 25);
+    CHECK(result.granted <= 32);
+    CHECK(result.granted + static_cast<int>(result.returns.size()) >= 195);
+}
+
 TEST_CASE("rate limit: a dispatcher without a part of it refuses at once")
 {
     dispatcher target;
@@ -174,3 +188,21 @@
     auto now = start;
     CHECK(submit_for(target, now, seconds{2}, 20, "s1").granted == 40);
 }
+
+TEST_CASE("rate limit: the parts of hosts that lost sight of each other add up to no more than it")
+{
+    boost::random::mt19937_64 random{testing::options().seed};
+    boost::random::uniform_int_distribution<std::size_t> any{1, 12};
+    for (int round = 0; round < 200; ++round) {
+        const auto known = any(random);
+        double sum = 0;
+        for (std::size_t left = known; left > 0;) {
+            const auto in_reach = std::min(left, any(random));
+            sum += limit_share({.known_hosts = known, .connected_hosts = in_reach});
+            left -= in_reach;
+        }
+        CHECK(sum <= 1 + 1e-9);
+    }
+    CHECK(limit_share({.known_hosts = 8, .connected_hosts = 8, .chosen = false}) == 0.125);
+    CHECK(limit_share({.known_hosts = 8, .connected_hosts = 8, .fallback = true}) == 0);
+}
