A host that differs in what servers say asks one other host for all, upon a digest

Cause: all that is known was told over each link that is made: 275 MB to a host that restarts among 1,100 if 10,000 servers limit their rate.

--- a/include/quincewing/deployment/server_condition.hpp
+++ b/include/quincewing/deployment/server_condition.hpp
@@ -31,6 +31,30 @@
     }
 };
 
+/// Digest of all that the sender knows of what servers say of themselves.
+struct server_condition_digest
+{
+    std::uint64_t value{};
+
+    template <class F>
+    void each_field(F&& f)
+    {
+        f(value);
+    }
+};
+
+/// Asks the receiver for all that it knows.
+struct server_condition_request
+{
+    bool wanted{true};
+
+    template <class F>
+    void each_field(F&& f)
+    {
+        f(wanted);
+    }
+};
+
 struct server_condition_report
 {
     std::vector<server_condition> servers;
--- a/include/quincewing/deployment/server_conditions.hpp
+++ b/include/quincewing/deployment/server_conditions.hpp
@@ -21,6 +21,8 @@
     duration told_time_error{millis{100}};
     /// Processes that are remembered.
     std::size_t max_processes{16384};
+    /// Least time between two requests for all that another host knows.
+    duration request_interval{millis{250}};
 };
 
 /// What changed with an answer.
@@ -68,6 +70,11 @@
     /// All that is known, for a host that may know nothing.
     [[nodiscard]] server_condition_report report_all(instant now) const;
 
+    /// Equal on hosts that know the same.
+    [[nodiscard]] std::uint64_t digest() const;
+    /// Another host told its digest. Returns whether to ask it for all that it knows.
+    bool on_digest(instant now, std::uint64_t told);
+
     /// Processes that are remembered.
     [[nodiscard]] std::size_t size() const { return processes_.size(); }
 
@@ -101,6 +108,9 @@
     server_conditions_options options_;
     std::map<server_id, condition> processes_;
     std::set<server_id> findings_;
+    /// Empty after a change, until it is asked for.
+    mutable std::optional<std::uint64_t> digest_;
+    instant next_request_{};
 };
 
 } // namespace quincewing
--- a/include/quincewing/wire/messages.hpp
+++ b/include/quincewing/wire/messages.hpp
@@ -469,7 +469,7 @@
                  late_answer, shard_hint, coordinator_beat, news_request, coordinator_news,
                  load_report, place_request, place_queued, place_given, place_refused, place_done,
                  host_leaving, place_declined, place_check, place_check_result, crash_digest,
-                 server_condition_report>;
+                 server_condition_report, server_condition_digest, server_condition_request>;
 
 /// A message between two entry hosts; dropped unless it is for this very process.
 struct envelope
--- a/src/libs/deployment/server_conditions.cpp
+++ b/src/libs/deployment/server_conditions.cpp
@@ -1,6 +1,10 @@
 #include "quincewing/deployment/server_conditions.hpp"
 
+#include "quincewing/base/hash.hpp"
+
 #include <algorithm>
+#include <bit>
+#include <string>
 
 namespace quincewing {
 
@@ -92,6 +96,7 @@
         out.rest_began = now >= entry->rest_until;
         entry->rest_until = std::max(entry->rest_until, now + *notice.rest);
     }
+    digest_.reset();
     if (out.shared) {
         findings_.insert(process.id);
     }
@@ -143,6 +148,7 @@
 
 bool server_conditions::on_report(instant now, const server_condition_report& report)
 {
+    digest_.reset();
     bool changed = false;
     for (const auto& it : report.servers) {
         changed = merge(now, it) || changed;
@@ -160,12 +166,15 @@
             it.unlisted_since = now;
         }
     }
-    std::erase_if(processes_, [&](const auto& entry) {
+    const auto forgotten = std::erase_if(processes_, [&](const auto& entry) {
         const auto& it = entry.second;
         const bool holds = it.rate_limit || it.leaving || now < it.rest_until;
         const bool ended = !holds && now - it.said_at > options_.memory;
         return ended || (it.unlisted_since && now - *it.unlisted_since > options_.memory);
     });
+    if (forgotten > 0) {
+        digest_.reset();
+    }
 }
 
 std::optional<request_rate> server_conditions::rate_limit(const backend_server& process) const
@@ -218,6 +227,36 @@
     return out;
 }
 
+// Without times, and without processes of which nothing holds any more: hosts forget these at other
+// moments.
+std::uint64_t server_conditions::digest() const
+{
+    if (digest_) {
+        return *digest_;
+    }
+    std::uint64_t out = 0;
+    for (const auto& [id, it] : processes_) {
+        if (!it.rate_limit && !it.leaving) {
+            continue;
+        }
+        const auto limit =
+            std::bit_cast<std::uint64_t>(it.rate_limit.value_or(request_rate{}).value);
+        const auto seed = it.start.value * 2 + (it.leaving ? 1 : 0);
+        out ^= stable_hash(id.value + std::to_string(limit), seed);
+    }
+    digest_ = out;
+    return out;
+}
+
+bool server_conditions::on_digest(instant now, std::uint64_t told)
+{
+    if (told == digest() || now < next_request_) {
+        return false;
+    }
+    next_request_ = now + options_.request_interval;
+    return true;
+}
+
 server_condition server_conditions::to_report(instant now, const server_id& id, const condition& it)
 {
     return {.server = id,
--- a/src/plugins/entry/condition_exchange.cpp
+++ b/src/plugins/entry/condition_exchange.cpp
@@ -1,5 +1,6 @@
 #include "condition_exchange.hpp"
 
+#include "quincewing/base/hash.hpp"
 #include "quincewing/logging/event_log.hpp"
 
 #include <algorithm>
@@ -12,6 +13,8 @@
 // Bounds the messages while servers change their limits with each answer.
 constexpr millis report_period{100};
 constexpr seconds cleanup_period{1};
+// One small message in each period, whatever the number of hosts.
+constexpr seconds digest_period{1};
 
 std::string text_of(request_rate it)
 {
@@ -24,18 +27,49 @@
 
 condition_exchange::condition_exchange(host_context context, peers_task& peers,
                                        condition_exchange_hooks hooks)
-    : context_(std::move(context)), peers_(peers), hooks_(std::move(hooks))
+    : context_(std::move(context)), peers_(peers), hooks_(std::move(hooks)),
+      random_(static_cast<std::uint32_t>(stable_hash(context_.self.value)))
 {
 }
 
 void condition_exchange::on_host_connected(const host_id& host)
 {
-    auto report = context_.view.conditions().report_all(monotonic_now());
-    if (!report.servers.empty()) {
-        peers_.send(host, report);
+    tell_digest(host);
+}
+
+void condition_exchange::tell_digest(const host_id& to)
+{
+    peers_.send(to, server_condition_digest{.value = context_.view.conditions().digest()});
+}
+
+void condition_exchange::tell_digest_to_one(instant now)
+{
+    if (now < next_digest_) {
+        return;
+    }
+    next_digest_ = now + digest_period;
+    const auto hosts = peers_.connected_hosts();
+    if (!hosts.empty()) {
+        std::uniform_int_distribution<std::size_t> any{0, hosts.size() - 1};
+        tell_digest(hosts[any(random_)]);
     }
 }
 
+// Without a link back the request would be lost. When that link is made, a digest is told there,
+// and the host asks in its turn.
+void condition_exchange::on_message(const host_id& from, const server_condition_digest& it)
+{
+    auto& conditions = context_.view.conditions();
+    if (peers_.connected(from) && conditions.on_digest(monotonic_now(), it.value)) {
+        peers_.send(from, server_condition_request{});
+    }
+}
+
+void condition_exchange::on_message(const host_id& from, const server_condition_request&)
+{
+    peers_.send(from, context_.view.conditions().report_all(monotonic_now()));
+}
+
 void condition_exchange::on_notice(const backend_server& process, instant sent_at,
                                    const server_notice& notice)
 {
@@ -109,6 +143,7 @@
         next_cleanup_ = now + cleanup_period;
         conditions.forget_old(now, context_.view.servers());
     }
+    tell_digest_to_one(now);
     if (now < next_report_) {
         return;
     }
--- a/src/plugins/entry/condition_exchange.hpp
+++ b/src/plugins/entry/condition_exchange.hpp
@@ -5,6 +5,9 @@
 #include "quincewing/peers/peers_task.hpp"
 
 #include <functional>
+#include <map>
+#include <random>
+#include <string>
 
 namespace quincewing {
 
@@ -19,7 +22,8 @@
 };
 
 /// Keeps what this host knows of the servers' conditions equal to what the other hosts know.
-/// Changes are told to all hosts; all that is known is told when a link is made.
+/// Changes are told to all hosts. A digest is told when a link is made, and to one host from time
+/// to time; a host that knows something else asks the sender for all that it knows.
 class condition_exchange
 {
 public:
@@ -28,12 +32,16 @@
     void on_host_connected(const host_id& host);
     void on_notice(const backend_server& process, instant sent_at, const server_notice& notice);
     void on_message(const host_id& from, const server_condition_report& it);
+    void on_message(const host_id& from, const server_condition_digest& it);
+    void on_message(const host_id& from, const server_condition_request& it);
     void tick(instant now);
 
     /// The servers that limit their rate, leave or want rest, one a line, for operators.
     [[nodiscard]] std::string describe() const;
 
 private:
+    void tell_digest(const host_id& to);
+    void tell_digest_to_one(instant now);
     struct shared_condition
     {
         /// 0: none.
@@ -48,7 +56,9 @@
     host_context context_;
     peers_task& peers_;
     condition_exchange_hooks hooks_;
+    std::minstd_rand random_;
     instant next_report_{};
+    instant next_digest_{};
     instant next_cleanup_{};
 };
 
--- a/tests/auto/deployment/server_conditions_search_test.cpp
+++ b/tests/auto/deployment/server_conditions_search_test.cpp
@@ -101,6 +101,19 @@
             }
         }
     }
+    void tell_digest(std::size_t from)
+    {
+        for (std::size_t to = 0; to < host_count; ++to) {
+            if (to == from || !in_reach(from, to)) {
+                continue;
+            }
+            later(millis{2}, [this, from, to, digest = hosts_[from].digest()] {
+                if (hosts_[to].on_digest(now_, digest)) {
+                    hosts_[to].on_report(now_, hosts_[from].report_all(now_));
+                }
+            });
+        }
+    }
     void pass(duration time)
     {
         const auto end = now_ + time;
@@ -112,8 +125,9 @@
                 what();
             }
             for (std::size_t i = 0; i < host_count; ++i) {
-                if (told_anew_) {
-                    tell(i, hosts_[i].report_all(now_));
+                if (told_anew_ || now_ >= next_digest_[i]) {
+                    tell_digest(i);
+                    next_digest_[i] = now_ + seconds{1};
                 }
                 if (const auto report = hosts_[i].take_findings(now_)) {
                     tell(i, *report);
@@ -129,7 +143,8 @@
     std::vector<server_conditions> hosts_ = std::vector<server_conditions>(host_count);
     /// Hosts below this number are out of reach of the others; 0: all are in reach.
     std::size_t split_{};
-    /// A link was made: what is known is told again.
+    std::vector<instant> next_digest_ = std::vector<instant>(host_count);
+    /// A link was made: digests are told at once.
     bool told_anew_{};
     std::multimap<instant, std::function<void()>> events_;
 };
--- a/tests/auto/deployment/server_conditions_test.cpp
+++ b/tests/auto/deployment/server_conditions_test.cpp
@@ -179,3 +179,21 @@
     conditions.forget_old(start + seconds{63}, {{process.id, process}});
     CHECK(conditions.size() == 0);
 }
+
+TEST_CASE(
+    "server conditions: hosts that know the same have one digest, and one is asked for the rest")
+{
+    server_conditions first;
+    server_conditions second;
+    CHECK(first.digest() == second.digest());
+    first.on_notice(start, process, start, limit_of(2));
+    CHECK(first.digest() != second.digest());
+    CHECK(second.on_digest(start, first.digest()));
+    // Of many hosts that differ only one is asked at a time.
+    CHECK_FALSE(second.on_digest(start + millis{10}, first.digest()));
+    second.on_report(start + millis{11}, first.report_all(start));
+    CHECK(first.digest() == second.digest());
+    CHECK_FALSE(second.on_digest(start + seconds{1}, first.digest()));
+    second.on_notice(start + seconds{2}, process, start + seconds{1}, {});
+    CHECK(second.digest() == server_conditions{}.digest());
+}
