--- a/src/plugins/entry/entry_host.cpp
+++ b/src/plugins/entry/entry_host.cpp
@@ -147,6 +147,7 @@
               metrics.gauge("quincewing_limited_servers") =
                   static_cast<double>(view.rate_limits().size());
               metrics.gauge("quincewing_coordinating") = coordination.core().coordinating() ? 1 : 0;
+              metrics.counter("quincewing_peer_bytes_sent_total") = peers.counts().bytes_sent;
               metrics.gauge("quincewing_log_lines_left_out") =
                   static_cast<double>(standard_log().left_out());
           },
