CONFIG: a configuration is told as what changed, and a host knows whether its own is in force

Cause: the coordinator sent the whole record to each host, 370 KB for one route of 2,000, so that a small link was busy for seconds and beats waited behind it; hosts that lagged asked for all each 150 ms. A host trusted a word of up to 4 s, and was ready with whatever configuration came first. Change: the routes that changed are told, with where the record is; hosts read a large change from the store, and ask another host while it does not answer. configuration_currency says since when a version is known to be in force; readiness, a path without a route and requests at a host that lacks a newer version ask it. Ruled out: decoding (9 ms of a core for 1,420 routes); two coordinators (each version spreads from one host). Hosts of this and earlier builds do not understand each other's news: a fleet is replaced as a whole.

--- a/bench/slopes_bench.cpp
+++ b/bench/slopes_bench.cpp
@@ -1,6 +1,7 @@
 #include "quincewing/base/hash.hpp"
 #include "quincewing/control/host_core.hpp"
 #include "quincewing/deployment/server_conditions.hpp"
+#include "quincewing/routing/route_table.hpp"
 #include "quincewing/state/log_bootstrap.hpp"
 
 #include <chrono>
@@ -206,6 +207,36 @@
     }
 }
 
+/// What a change of the configuration costs: one weight, told as a change, and the whole.
+void configuration_slopes()
+{
+    for (const int routes : {20, 200, 2000}) {
+        configuration from{.version = config_version{1}};
+        for (int i = 0; i < routes; ++i) {
+            from.routes.push_back({.name = "route-" + std::to_string(1000 + i),
+                                   .host = "gauges.example",
+                                   .path_prefix = "/path-" + std::to_string(1000 + i) + "/",
+                                   .shares = {{.service = service_id{"archive"}, .weight = 3},
+                                              {.service = service_id{"annex"}, .weight = 1}}});
+        }
+        auto to = from;
+        to.version = config_version{2};
+        to.routes[0].shares[0].weight = 4;
+        auto begun = clock_type::now();
+        const coordinator_news news{.configuration_changes = difference(from, to)};
+        const auto difference_us = since(begun) * 1e6;
+        route_table table;
+        table.apply(from);
+        begun = clock_type::now();
+        table.apply(apply_configuration_changes(from, *news.configuration_changes));
+        const auto apply_us = since(begun) * 1e6;
+        const coordinator_news whole{.configuration_changes = difference({}, to)};
+        std::cout << "configuration " << routes << " routes: one weight " << wire_bytes(news)
+                  << " B, found in " << difference_us << " us, applied in " << apply_us
+                  << " us; the whole " << wire_bytes(whole) << " B\n";
+    }
+}
+
 /// What hosts tell each other of requests that crash servers, and what they remember.
 void crash_slopes()
 {
@@ -247,6 +278,7 @@
 {
     crash_slopes();
     condition_slopes();
+    configuration_slopes();
     pair_slopes();
     membership_slopes();
     ledger_slopes();
--- a/include/quincewing/codec/codec.hpp
+++ b/include/quincewing/codec/codec.hpp
@@ -2,6 +2,7 @@
 
 #include "quincewing/base/strong.hpp"
 
+#include <chrono>
 #include <concepts>
 #include <cstdint>
 #include <map>
@@ -68,6 +69,14 @@
 {
 };
 template <class T>
+struct is_duration : std::false_type
+{
+};
+template <class R, class P>
+struct is_duration<std::chrono::duration<R, P>> : std::true_type
+{
+};
+template <class T>
 struct is_strong : std::false_type
 {
 };
@@ -96,6 +105,8 @@
 {
     if constexpr (is_strong<T>::value) {
         put(out, it.value);
+    } else if constexpr (is_duration<T>::value) {
+        out.pack(it.count());
     } else if constexpr (fielded<T>) {
         put_fields(out, it);
     } else if constexpr (std::is_enum_v<T>) {
@@ -164,6 +175,8 @@
 {
     if constexpr (is_strong<T>::value) {
         get(from, it.value);
+    } else if constexpr (is_duration<T>::value) {
+        it = T{from.as<typename T::rep>()};
     } else if constexpr (fielded<T>) {
         const auto& items = array_of(from);
         std::uint32_t i = 0;
--- a/include/quincewing/deployment/deployment_bounds.hpp
+++ b/include/quincewing/deployment/deployment_bounds.hpp
@@ -11,6 +11,9 @@
     duration drain{seconds{2}};
     /// Time within which a new configuration must be in force.
     duration configuration{seconds{2}};
+    /// A configuration that was in force this long ago may be taken for the one in force, with time
+    /// left to act upon it.
+    [[nodiscard]] duration configuration_trust() const { return configuration - millis{500}; }
     /// Time from the stop signal until the process is killed.
     duration grace{seconds{6}};
     /// Retries at the servers of a service may be at most this share of its requests,
--- a/include/quincewing/deployment/deployment_view.hpp
+++ b/include/quincewing/deployment/deployment_view.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "quincewing/assignment/assignment_table.hpp"
+#include "quincewing/deployment/configuration_currency.hpp"
 #include "quincewing/deployment/server_conditions.hpp"
 #include "quincewing/routing/route_table.hpp"
 
@@ -27,12 +28,15 @@
     explicit deployment_view(std::uint64_t seed) : routes_(seed) {}
 
     /// False: it is not newer than the present one.
-    bool apply_configuration(configuration next) { return routes_.apply(std::move(next)); }
+    bool apply_configuration(configuration next);
     void apply_servers(const backend_servers& servers);
     /// held tells for each range of the table whether its grant is in force.
     void apply_table(const assignment_table& table, std::vector<std::uint8_t> held);
 
     [[nodiscard]] const route_table& routes() const { return routes_; }
+    /// Whether the configuration is still in force, as far as this host knows.
+    [[nodiscard]] configuration_currency& currency() { return currency_; }
+    [[nodiscard]] const configuration_currency& currency() const { return currency_; }
     [[nodiscard]] const backend_servers& servers() const { return servers_; }
     /// The servers as the store has them, where those that say themselves that they stop are
     /// draining too.
@@ -64,6 +68,7 @@
     }
 
     route_table routes_;
+    configuration_currency currency_;
     backend_servers servers_;
     server_conditions conditions_;
     assignment_table table_;
--- a/include/quincewing/deployment/platform_adapter.hpp
+++ b/include/quincewing/deployment/platform_adapter.hpp
@@ -16,6 +16,8 @@
     std::string store;
     /// Timeout of a call to the store.
     duration store_timeout{millis{900}};
+    /// The same of a call that reads the configuration at once, which may be large.
+    duration configuration_timeout{seconds{2}};
 };
 
 /// Creates the operations on the users' platform. The loop must outlive the result.
--- a/include/quincewing/routing/configuration.hpp
+++ b/include/quincewing/routing/configuration.hpp
@@ -28,6 +28,14 @@
     service_id service;
     /// Relative to the other shares of the route.
     std::uint32_t weight{1};
+
+    auto operator<=>(const service_share&) const = default;
+    template <class F>
+    void each_field(F&& f)
+    {
+        f(service);
+        f(weight);
+    }
 };
 
 /// Maps requests to services, and says how to handle them.
@@ -48,6 +56,21 @@
     /// Largest number of backend servers to which one request may be sent.
     std::uint32_t max_servers{1};
     std::vector<service_share> shares;
+
+    bool operator==(const route&) const = default;
+    template <class F>
+    void each_field(F&& f)
+    {
+        f(name);
+        f(host);
+        f(path_prefix);
+        f(retry);
+        f(timeout);
+        f(latency_objective);
+        f(priority);
+        f(max_servers);
+        f(shares);
+    }
 };
 
 struct service_configuration
@@ -56,6 +79,14 @@
     std::uint32_t max_connections{100};
     /// Each key is owned by one server, and only this one runs its requests.
     bool keyed{};
+
+    bool operator==(const service_configuration&) const = default;
+    template <class F>
+    void each_field(F&& f)
+    {
+        f(max_connections);
+        f(keyed);
+    }
 };
 
 /// Limits on what a caller may send.
@@ -65,6 +96,16 @@
     std::uint64_t body_bytes{64UL * 1024 * 1024};
     duration head_timeout{seconds{3}};
     duration idle_timeout{seconds{15}};
+
+    bool operator==(const caller_limits&) const = default;
+    template <class F>
+    void each_field(F&& f)
+    {
+        f(head_bytes);
+        f(body_bytes);
+        f(head_timeout);
+        f(idle_timeout);
+    }
 };
 
 /// The operators' complete configuration.
--- a/include/quincewing/wire/messages.hpp
+++ b/include/quincewing/wire/messages.hpp
@@ -7,6 +7,7 @@
 #include "quincewing/dispatch/dispatch_request.hpp"
 #include "quincewing/ledger/ledger_item.hpp"
 #include "quincewing/ownership/pair_messages.hpp"
+#include "quincewing/routing/configuration_changes.hpp"
 
 #include <cstdint>
 #include <optional>
@@ -237,7 +238,10 @@
     /// Microseconds since the reads behind these were sent.
     std::uint64_t table_age{};
     std::uint64_t servers_age{};
+    /// Since the read that showed the configuration as the newest; see told_beat.
     std::uint64_t configuration_age{};
+    /// Where the configuration is stored.
+    std::uint64_t configuration_offset{};
     template <class F>
     void each_field(F&& f)
     {
@@ -250,6 +254,7 @@
         f(table_age);
         f(servers_age);
         f(configuration_age);
+        f(configuration_offset);
     }
 };
 
@@ -273,12 +278,11 @@
     /// For each range of the table, whether its grant is in force.
     std::optional<std::vector<std::uint8_t>> held;
     std::optional<std::vector<backend_server>> servers;
-    /// The operators' configuration as the store holds it, and its key there.
-    std::optional<std::string> configuration;
-    std::string configuration_key;
     /// In place of the whole table or list, when the receiver is taken to know the earlier one.
     std::optional<table_change> table_changes;
     std::optional<server_changes> servers_changes;
+    /// Only if they are small: hosts read a large change from the store.
+    std::optional<quincewing::configuration_changes> configuration_changes;
 
     template <class F>
     void each_field(F&& f)
@@ -287,10 +291,43 @@
         f(table);
         f(held);
         f(servers);
-        f(configuration);
-        f(configuration_key);
         f(table_changes);
         f(servers_changes);
+        f(configuration_changes);
+    }
+};
+
+/// Asks for the configuration; sent by a host that the store does not answer.
+struct configuration_request
+{
+    /// The version that the sender has; 0: none.
+    config_version version;
+
+    template <class F>
+    void each_field(F&& f)
+    {
+        f(version);
+    }
+};
+
+/// The sender's configuration.
+struct configuration_reply
+{
+    config_version version;
+    /// Where it is stored.
+    std::uint64_t offset{};
+    /// Microseconds since the sending of a read that showed it as the newest.
+    std::uint64_t age{};
+    /// The whole; missing if the receiver has this version or a newer one.
+    std::optional<configuration_changes> whole;
+
+    template <class F>
+    void each_field(F&& f)
+    {
+        f(version);
+        f(offset);
+        f(age);
+        f(whole);
     }
 };
 
@@ -469,7 +506,8 @@
                  late_answer, shard_hint, coordinator_beat, news_request, coordinator_news,
                  load_report, place_request, place_queued, place_given, place_refused, place_done,
                  host_leaving, place_declined, place_check, place_check_result, crash_digest,
-                 server_condition_report, server_condition_digest, server_condition_request>;
+                 server_condition_report, server_condition_digest, server_condition_request,
+                 configuration_request, configuration_reply>;
 
 /// A message between two entry hosts; dropped unless it is for this very process.
 struct envelope
--- a/src/libs/deployment/deployment_view.cpp
+++ b/src/libs/deployment/deployment_view.cpp
@@ -2,6 +2,16 @@
 
 namespace quincewing {
 
+bool deployment_view::apply_configuration(configuration next)
+{
+    const auto version = next.version;
+    if (!routes_.apply(std::move(next))) {
+        return false;
+    }
+    currency_.on_applied(version);
+    return true;
+}
+
 void deployment_view::apply_servers(const backend_servers& servers)
 {
     servers_ = servers;
--- a/src/libs/wire/told_beat.cpp
+++ b/src/libs/wire/told_beat.cpp
@@ -10,7 +10,12 @@
     out.term = last.term;
     out.table_revision = last.table_revision;
     out.held_revision = last.held_revision;
-    out.configuration = last.configuration;
+    if (now.configuration != last.configuration) {
+        // The read behind the new version says nothing of the one that was told.
+        out.configuration = last.configuration;
+        out.configuration_offset = last.configuration_offset;
+        out.configuration_age = unknown_age;
+    }
     if (now.servers_changed != last.servers_changed) {
         out.servers_changed = last.servers_changed;
         out.servers_read = last.servers_read;
--- a/src/plugins/entry/coordination_task.cpp
+++ b/src/plugins/entry/coordination_task.cpp
@@ -15,9 +15,8 @@
 constexpr seconds balance_log_period{1};
 // Without messages from the coordinator for this long, this host reads the store itself.
 constexpr millis heartbeat_timeout{700};
-// The same when the coordinator's own reads of the store are older than this.
+// The same when the coordinator's own reads of the servers are older than this.
 constexpr millis max_servers_age{1600};
-constexpr millis max_configuration_age{4000};
 // Key of the only record in the assignment stream.
 constexpr const char* table_key = "table";
 
@@ -75,12 +74,16 @@
 } // namespace
 
 coordination_task::coordination_task(host_context context, peers_task& peers,
-                                     store_follower& follower, coordination_hooks hooks)
-    : context_(std::move(context)), peers_(peers), follower_(follower), hooks_(std::move(hooks)),
+                                     store_follower& follower,
+                                     configuration_follower& configuration,
+                                     coordination_hooks hooks)
+    : context_(std::move(context)), peers_(peers), follower_(follower),
+      configuration_(configuration), hooks_(std::move(hooks)),
       core_({.self = context_.self,
              .degraded_grant_validity = context_.settings.bounds.longest_hold,
              .max_grant_validity = context_.settings.bounds.longest_hold},
-            make_log_hooks())
+            make_log_hooks()),
+      random_(static_cast<std::uint32_t>(stable_hash(context_.self.value)))
 {
 }
 
@@ -106,16 +109,15 @@
     const bool fresh = core_.coordinating() || has_fresh_coordinator(now);
     if (fresh != coordinator_fresh_) {
         coordinator_fresh_ = fresh;
-        log_event("dependency",
-                  {{"name", "coordinator"},
-                   {"host", coordinator_host_.value},
-                   {"state", fresh ? "regained" : "lost"},
-                   {"silent", now - last_message_at_},
-                   {"servers_age", duration{coordinator_versions_.servers_age}},
-                   {"configuration_age", duration{coordinator_versions_.configuration_age}}});
+        log_event("dependency", {{"name", "coordinator"},
+                                 {"host", coordinator_host_.value},
+                                 {"state", fresh ? "regained" : "lost"},
+                                 {"silent", now - last_message_at_},
+                                 {"servers_age", duration{coordinator_versions_.servers_age}}});
     }
     const auto follower_mode = fresh ? read_mode::off : read_mode::standalone;
     follower_.set_read_mode(core_.coordinating() ? read_mode::coordinator : follower_mode);
+    configuration_.set_watching(core_.coordinating() || !fresh);
 }
 
 void coordination_task::stop(instant now)
@@ -128,8 +130,7 @@
 {
     const auto silence = now - last_message_at_;
     return silence < heartbeat_timeout &&
-           duration{coordinator_versions_.servers_age} + silence < max_servers_age &&
-           duration{coordinator_versions_.configuration_age} + silence < max_configuration_age;
+           duration{coordinator_versions_.servers_age} + silence < max_servers_age;
 }
 
 std::size_t coordination_task::takeover_rank() const
--- a/src/plugins/entry/coordination_task.hpp
+++ b/src/plugins/entry/coordination_task.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "configuration_follower.hpp"
 #include "store_follower.hpp"
 
 #include "quincewing/assignment/coordinator.hpp"
@@ -9,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <random>
 
 namespace quincewing {
 
@@ -27,7 +29,7 @@
 {
 public:
     coordination_task(host_context context, peers_task& peers, store_follower& follower,
-                      coordination_hooks hooks);
+                      configuration_follower& configuration, coordination_hooks hooks);
 
     void tick(instant now);
     /// If this host coordinates, gives up its term in the store so that another host can take it.
@@ -44,6 +46,10 @@
     void on_message(const host_id& from, const news_request& it);
     void on_message(const host_id& from, const coordinator_news& it);
     void on_message(const host_id& from, const load_report& it);
+    void on_message(const host_id& from, const configuration_request& it);
+    void on_message(const host_id& from, const configuration_reply& it);
+    /// Asks another host for the configuration.
+    void ask_for_configuration();
 
     /// Load statistics, reported to the coordinator: one request for the key; the time that a
     /// server took to answer one request.
@@ -70,6 +76,7 @@
     void broadcast_if_changed();
     void apply_table_update(instant now, const coordinator_news& it);
     void apply_servers_update(const coordinator_news& it);
+    void note_told_configuration(instant now, const coordinator_beat& it);
     void send_load_report();
     void log_balance(instant now);
     /// Position of this host in the order in which hosts try to become coordinator.
@@ -78,6 +85,7 @@
     host_context context_;
     peers_task& peers_;
     store_follower& follower_;
+    configuration_follower& configuration_;
     coordination_hooks hooks_;
     coordinator core_;
     /// For each range of the table, 1 while the owner's grant is in force.
@@ -108,6 +116,7 @@
         std::uint64_t count{};
     };
     std::map<server_id, service_time_sum> service_times_;
+    std::minstd_rand random_;
 };
 
 } // namespace quincewing
--- a/src/plugins/entry/coordination_task_news.cpp
+++ b/src/plugins/entry/coordination_task_news.cpp
@@ -13,6 +13,9 @@
 // A broadcast costs the coordinator link and CPU time for each host, so changes are batched for
 // this long per connected host.
 constexpr millis broadcast_interval_per_host{1};
+// Routes that changed, beyond which hosts read the configuration from the store: told to each host
+// by the coordinator, a large change would occupy its link for seconds.
+constexpr std::size_t max_told_routes = 20;
 
 std::uint64_t to_micros(duration it)
 {
@@ -31,7 +34,8 @@
             .configuration = context_.view.routes().current().version.value,
             .table_age = to_micros(now - core_.last_read()),
             .servers_age = to_micros(follower_.servers_age(now)),
-            .configuration_age = to_micros(follower_.configuration_age(now))};
+            .configuration_age = to_micros(now - context_.view.currency().in_force_at()),
+            .configuration_offset = configuration_.offset().value};
 }
 
 void coordination_task::send_heartbeats(instant now)
@@ -83,10 +87,11 @@
         it.servers_changes = difference(last_broadcast_.servers_changed, broadcast_servers_,
                                         follower_.directory().servers());
     }
-    const auto& record = follower_.configuration_record();
-    if (record.value && current.configuration != last_broadcast_.configuration) {
-        it.configuration = record.value;
-        it.configuration_key = record.key;
+    if (current.configuration != last_broadcast_.configuration) {
+        auto changes = configuration_.latest_changes();
+        if (changes.changed.size() + changes.removed.size() <= max_told_routes) {
+            it.configuration_changes = std::move(changes);
+        }
     }
     for (const auto& host : peers_.connected_hosts()) {
         peers_.send(host, it);
@@ -102,10 +107,6 @@
     for (const auto& [id, server] : broadcast_servers_) {
         it.servers->push_back(server);
     }
-    if (const auto& record = follower_.configuration_record(); record.value) {
-        it.configuration = record.value;
-        it.configuration_key = record.key;
-    }
     peers_.send(to, it);
 }
 
@@ -130,8 +131,8 @@
     const bool behind =
         it.term != table.term || it.table_revision != table.revision ||
         it.held_revision != coordinator_versions_.held_revision ||
-        follower_.directory().behind(log_offset{it.servers_read}, log_offset{it.servers_changed}) ||
-        it.configuration > context_.view.routes().current().version.value;
+        follower_.directory().behind(log_offset{it.servers_read}, log_offset{it.servers_changed});
+    note_told_configuration(now, it);
     if (same_servers) {
         follower_.confirm_servers(log_offset{it.servers_read});
     }
@@ -185,10 +186,58 @@
         coordinator_versions_.held_revision = held_revision;
     }
     apply_servers_update(it);
-    if (it.configuration) {
-        follower_.on_relayed_configuration(
-            {.key = it.configuration_key, .value = it.configuration});
+    if (it.configuration_changes) {
+        configuration_.on_changes(*it.configuration_changes,
+                                  log_offset{it.versions.configuration_offset});
+    }
+    note_told_configuration(now, it.versions);
+}
+
+void coordination_task::note_told_configuration(instant now, const coordinator_beat& it)
+{
+    if (it.configuration != 0 && it.configuration_age != unknown_age) {
+        configuration_.on_told(config_version{it.configuration},
+                               log_offset{it.configuration_offset},
+                               now - duration{it.configuration_age});
+    }
+}
+
+// The whole configuration goes to one host at a time, and only while that host has no other way to
+// it: see max_told_routes.
+void coordination_task::ask_for_configuration()
+{
+    const auto hosts = peers_.connected_hosts();
+    if (hosts.empty()) {
+        return;
+    }
+    std::uniform_int_distribution<std::size_t> any{0, hosts.size() - 1};
+    peers_.send(hosts[any(random_)],
+                configuration_request{.version = context_.view.routes().current().version});
+}
+
+void coordination_task::on_message(const host_id& from, const configuration_request& it)
+{
+    const auto& current = context_.view.routes().current();
+    const auto in_force_at = context_.view.currency().in_force_at();
+    if (current.version == config_version{} || in_force_at == instant{}) {
+        return;
+    }
+    configuration_reply reply{.version = current.version,
+                              .offset = configuration_.offset().value,
+                              .age = to_micros(monotonic_now() - in_force_at)};
+    if (it.version < current.version) {
+        reply.whole = difference(configuration{}, current);
+    }
+    peers_.send(from, reply);
+}
+
+void coordination_task::on_message(const host_id&, const configuration_reply& it)
+{
+    const log_offset offset{it.offset};
+    if (it.whole) {
+        configuration_.on_changes(*it.whole, offset);
     }
+    configuration_.on_told(it.version, offset, monotonic_now() - duration{it.age});
 }
 
 // Ignores changes against a base that this host does not have; the next heartbeat then makes it
--- a/src/plugins/entry/entry_host.cpp
+++ b/src/plugins/entry/entry_host.cpp
@@ -2,6 +2,7 @@
 
 #include "caller_listener.hpp"
 #include "condition_exchange.hpp"
+#include "configuration_follower.hpp"
 #include "coordination_task.hpp"
 #include "crash_exchange.hpp"
 #include "dispatch_task.hpp"
@@ -46,6 +47,7 @@
     void on_host_lost(const host_id& host);
     void tick();
     void continue_shutdown(instant now);
+    [[nodiscard]] bool configuration_in_force() const;
     [[nodiscard]] bool ready() const;
     [[nodiscard]] shared_retry_budget& budget(const service_id& service);
 
@@ -58,6 +60,7 @@
     host_context context;
     peers_task peers;
     store_follower follower;
+    configuration_follower configuration;
     coordination_task coordination;
     dispatch_task dispatch;
     crash_exchange crashes;
@@ -75,6 +78,8 @@
     entry_stop_schedule stop_steps;
     bool stopping{};
     bool record_removed{};
+    /// The configuration was once known to be in force.
+    bool configuration_confirmed{};
     std::function<void()> on_stopped;
 };
 
@@ -102,9 +107,10 @@
              .on_process_gone = [](const host_id&) {},
              .on_request = [](const exchange_ptr&) {},
              .next_request_id = [] { return request_id{}; }}),
-      follower(context, {.on_servers = [this] { on_view_change(); },
-                         .on_configuration = [this] { on_view_change(); }}),
-      coordination(context, peers, follower,
+      follower(context, {.on_servers = [this] { on_view_change(); }}),
+      configuration(context, {.on_configuration = [this] { on_view_change(); },
+                              .on_unknown = [this] { coordination.ask_for_configuration(); }}),
+      coordination(context, peers, follower, configuration,
                    {.on_assignment_change = [this] { listener.on_view_change(); },
                     .on_notice =
                         [this](const backend_server& server, const server_notice& notice) {
@@ -164,11 +170,20 @@
     return budgets.try_emplace(service, options, started).first->second;
 }
 
+// At its start a host knows no configuration until it knows that it is in force. Later it goes on
+// with the one that it has unless it knows of a newer one.
+bool entry_host::tasks::configuration_in_force() const
+{
+    const auto trusted =
+        view.currency().current(monotonic_now(), settings.bounds.configuration_trust());
+    return trusted || (configuration_confirmed && !view.currency().behind());
+}
+
 bool entry_host::tasks::ready() const
 {
     const bool has_keyed_services = !view.keyed_services().empty();
     const bool keys_assigned = !has_keyed_services || !view.table().ranges.empty();
-    return !stopping && view.routes().configured() && view.servers_known() && keys_assigned;
+    return !stopping && configuration_in_force() && view.servers_known() && keys_assigned;
 }
 
 void entry_host::tasks::on_message(const envelope& it)
@@ -216,6 +231,8 @@
     const auto now = monotonic_now();
     announcer.tick(now);
     follower.tick(now);
+    configuration.tick(now);
+    configuration_confirmed = configuration_confirmed || configuration_in_force();
     coordination.tick(now);
     dispatch.tick(now);
     conditions.tick(now);
--- a/src/plugins/entry/request_flow.cpp
+++ b/src/plugins/entry/request_flow.cpp
@@ -19,6 +19,11 @@
 // which callers that wait for the same end return.
 constexpr double rest_wait_share = 0.3;
 constexpr millis rest_return_spread{250};
+// Retry-After value of a host that lacks the newest configuration: others have it.
+constexpr millis retry_after_outdated{200};
+// Time that a look at the store for a newer configuration takes, and how often its end is checked.
+constexpr millis configuration_look_timeout{700};
+constexpr millis configuration_look_period{30};
 // For requests without a deadline header.
 constexpr seconds default_deadline{30};
 
@@ -51,12 +56,15 @@
 
 bool request_flow::waiting() const
 {
-    return stage_ == stage::waiting_for_owner || stage_ == stage::waiting_for_slot;
+    return stage_ == stage::waiting_for_configuration || stage_ == stage::waiting_for_owner ||
+           stage_ == stage::waiting_for_slot;
 }
 
 const char* request_flow::waits_for() const
 {
     switch (stage_) {
+    case stage::waiting_for_configuration:
+        return "configuration";
     case stage::waiting_for_owner:
         return "owner";
     case stage::waiting_for_slot:
@@ -88,20 +96,49 @@
 
 void request_flow::start()
 {
-    const auto& head = exchange_->head;
     if (!context_.view.routes().configured()) {
         refuse("no_configuration", millis{500});
         return;
     }
+    exchange_->on_disconnect = [this] { on_caller_disconnect(); };
+    stage_ = stage::waiting_for_configuration;
+    find_route();
+}
+
+bool request_flow::configuration_outdated() const
+{
+    const auto& currency = context_.view.currency();
+    return currency.behind() &&
+           !currency.current(monotonic_now(), context_.settings.bounds.configuration);
+}
+
+void request_flow::find_route()
+{
+    if (configuration_outdated()) {
+        refuse("configuration_outdated", retry_after_outdated);
+        return;
+    }
+    const auto& head = exchange_->head;
+    const auto now = monotonic_now();
     const auto* host = find_header(head.headers, "Host");
     const auto path = head.target.substr(0, head.target.find('?'));
     version_ = context_.view.routes().current().version;
     route_ =
         host == nullptr ? nullptr : context_.view.routes().find(host_without_port(*host), path);
-    if (!route_) {
+    const auto trust = context_.settings.bounds.configuration_trust();
+    const bool known = host == nullptr || context_.view.currency().current(now, trust);
+    if (!route_ && known) {
         fail(http_status::not_found, "no_route");
         return;
     }
+    if (!route_ && now - exchange_->arrived >= configuration_look_timeout) {
+        refuse("configuration_unknown", retry_after_outdated);
+        return;
+    }
+    if (!route_) {
+        timer_.once(configuration_look_period);
+        return;
+    }
     const auto header_ms = integer_header(head.headers, context_.platform.names.time_left);
     const duration caller_timeout =
         header_ms ? duration{millis{*header_ms}} : duration{default_deadline};
@@ -111,7 +148,7 @@
     if (reject_if_quarantined()) {
         return;
     }
-    exchange_->on_disconnect = [this] { on_caller_disconnect(); };
+    stage_ = stage::waiting_for_owner;
     timer_.once(std::max<duration>(time_left() + response_grace, millis{1}));
     choose_service();
     find_server();
@@ -210,6 +247,10 @@
 // The owner of the key may change while the request waits for a slot at that server.
 void request_flow::on_view_change()
 {
+    if (stage_ == stage::waiting_for_configuration) {
+        find_route();
+        return;
+    }
     if (stage_ == stage::waiting_for_owner) {
         find_server();
         return;
--- a/src/plugins/entry/request_flow.hpp
+++ b/src/plugins/entry/request_flow.hpp
@@ -46,6 +46,8 @@
 private:
     enum class stage
     {
+        /// No route is known, but there may be a newer configuration that has one.
+        waiting_for_configuration,
         waiting_for_owner,
         waiting_for_slot,
         at_server,
@@ -53,6 +55,11 @@
     };
 
     [[nodiscard]] const char* waits_for() const;
+    /// There is a newer configuration, and this host's may not be in force any more.
+    [[nodiscard]] bool configuration_outdated() const;
+    /// Looks for the route in the configuration. An unknown path gets 404 only if no newer one can
+    /// have a route for it.
+    void find_route();
     void choose_service();
     void find_server();
     void request_slot(const server_id& required_server);
--- a/src/plugins/entry/request_flow_end.cpp
+++ b/src/plugins/entry/request_flow_end.cpp
@@ -25,6 +25,10 @@
 void request_flow::on_timeout()
 {
     const auto self = shared_from_this();
+    if (stage_ == stage::waiting_for_configuration) {
+        find_route();
+        return;
+    }
     if (stage_ == stage::waiting_for_owner) {
         refuse("no_owner", retry_after_key_move);
         return;
--- a/src/plugins/entry/store_follower.cpp
+++ b/src/plugins/entry/store_follower.cpp
@@ -13,9 +13,6 @@
 constexpr millis servers_period{350};
 // Longer, because all hosts read while there is no coordinator.
 constexpr millis servers_period_standalone{700};
-// How long the store may hold a read open until a new configuration arrives. A dead connection is
-// detected after this time plus the timeout of calls to the store.
-constexpr millis configuration_poll_timeout{1500};
 // The pause before a retry is twice the base after the first failed read and doubles up to the
 // maximum: without a coordinator all hosts read, and their retries must not overload the store.
 constexpr millis base_retry_pause{300};
@@ -40,7 +37,6 @@
     servers_period_ = mode == read_mode::coordinator ? servers_period : servers_period_standalone;
     if (on && !reading_) {
         next_servers_read_ = {};
-        next_configuration_read_ = {};
     }
     reading_ = on;
 }
@@ -55,9 +51,6 @@
     if (!servers_read_pending_ && now >= next_servers_read_) {
         read_servers();
     }
-    if (!configuration_read_pending_ && now >= next_configuration_read_) {
-        read_configuration();
-    }
 }
 
 void store_follower::read_servers()
@@ -105,70 +98,6 @@
     publish_servers();
 }
 
-void store_follower::read_configuration()
-{
-    configuration_read_pending_ = true;
-    const auto sent = monotonic_now();
-    const bool snapshot = configuration_snapshot_needed_;
-    auto done = [this, sent, snapshot](const store_page& page) {
-        on_configuration_page(sent, page, snapshot);
-    };
-    if (snapshot) {
-        context_.platform.store.newest(store_stream::configuration, done);
-    } else {
-        context_.platform.store.read(store_stream::configuration, next_configuration_offset_,
-                                     configuration_poll_timeout, done);
-    }
-}
-
-void store_follower::on_configuration_page(instant sent, const store_page& page, bool snapshot)
-{
-    configuration_read_pending_ = false;
-    update_store_status(page.status);
-    const auto now = monotonic_now();
-    if (page.status == store_status::dropped) {
-        configuration_snapshot_needed_ = true;
-        next_configuration_read_ = now;
-        return;
-    }
-    if (page.status != store_status::ok) {
-        next_configuration_read_ = now + retry_pause_;
-        return;
-    }
-    for (const auto& it : page.records) {
-        if (context_.platform.is_configuration(it)) {
-            apply_configuration(it);
-        }
-    }
-    configuration_as_of_ = snapshot ? sent : now;
-    if (snapshot) {
-        next_configuration_offset_ = page.end;
-        configuration_snapshot_needed_ = false;
-    } else if (!page.records.empty()) {
-        next_configuration_offset_ = log_offset{page.records.back().offset.value + 1};
-    }
-    next_configuration_read_ = configured() ? now : now + base_retry_pause;
-}
-
-void store_follower::apply_configuration(const store_record& record)
-{
-    auto next = context_.platform.decode_configuration(record);
-    if (!next) {
-        log_event("configuration_unreadable",
-                  {{"offset", record.offset.value}, {"error", next.error()}});
-        return;
-    }
-    const auto version = next->version.value;
-    const auto routes = next->routes.size();
-    if (!context_.view.apply_configuration(std::move(*next))) {
-        return;
-    }
-    configuration_ = record;
-    log_event("configuration",
-              {{"version", version}, {"routes", routes}, {"offset", record.offset.value}});
-    hooks_.on_configuration();
-}
-
 void store_follower::on_relayed_servers(const std::vector<backend_server>& servers, log_offset read,
                                         log_offset changed)
 {
@@ -179,11 +108,6 @@
     }
 }
 
-void store_follower::on_relayed_configuration(const store_record& record)
-{
-    apply_configuration(record);
-}
-
 void store_follower::publish_servers()
 {
     if (!directory_.known() ||
--- a/src/plugins/entry/store_follower.hpp
+++ b/src/plugins/entry/store_follower.hpp
@@ -11,7 +11,6 @@
 struct store_follower_hooks
 {
     std::function<void()> on_servers;
-    std::function<void()> on_configuration;
 };
 
 /// Why a host reads the store; decides how often it does.
@@ -25,8 +24,8 @@
     coordinator
 };
 
-/// Keeps this host's view of the servers and of the operators' configuration up to date, either
-/// from the store or from what the coordinating host relays.
+/// Keeps this host's view of the servers up to date, either from the store or from what the
+/// coordinating host relays.
 class store_follower
 {
 public:
@@ -34,32 +33,20 @@
 
     void set_read_mode(read_mode mode);
     /// Data relayed by the coordinating host. read is the offset up to which it has read the
-    /// stream, changed the offset of the last change. The record is the configuration as the store
-    /// holds it.
+    /// stream, changed the offset of the last change.
     void on_relayed_servers(const std::vector<backend_server>& servers, log_offset read,
                             log_offset changed);
-    void on_relayed_configuration(const store_record& record);
     /// The coordinating host has read up to this offset and has the same servers.
     void confirm_servers(log_offset read) { directory_.on_confirmed(read); }
     void tick(instant now);
 
     [[nodiscard]] const server_directory& directory() const { return directory_; }
-    /// The configuration in force, as the store holds it.
-    [[nodiscard]] const store_record& configuration_record() const { return configuration_; }
     /// Time since the data was last known to match the store.
     [[nodiscard]] duration servers_age(instant now) const { return now - servers_as_of_; }
-    [[nodiscard]] duration configuration_age(instant now) const
-    {
-        return now - configuration_as_of_;
-    }
-    [[nodiscard]] bool configured() const { return context_.view.routes().configured(); }
 
 private:
     void read_servers();
     void on_servers_page(instant sent, const store_page& page, bool snapshot);
-    void read_configuration();
-    void on_configuration_page(instant sent, const store_page& page, bool snapshot);
-    void apply_configuration(const store_record& record);
     void publish_servers();
     void update_store_status(store_status status);
 
@@ -68,23 +55,16 @@
     server_directory directory_;
     log_offset published_offset_;
     bool published_once_{};
-    store_record configuration_;
-    log_offset next_configuration_offset_;
-    bool configuration_read_{};
     /// The next read must fetch the newest record of every key, not continue from an offset.
     bool servers_snapshot_needed_{true};
-    bool configuration_snapshot_needed_{true};
     bool reading_{true};
     bool servers_read_pending_{};
-    bool configuration_read_pending_{};
     bool store_reachable_{true};
     duration retry_pause_{millis{300}};
     duration servers_period_{millis{350}};
     instant next_servers_read_{};
-    instant next_configuration_read_{};
     /// When the data was last known to match the store.
     instant servers_as_of_{};
-    instant configuration_as_of_{};
 };
 
 } // namespace quincewing
--- a/tests/auto/wire/told_beat_test.cpp
+++ b/tests/auto/wire/told_beat_test.cpp
@@ -25,3 +25,13 @@
     CHECK(it.table_revision == 7);
     CHECK(it.table_age == 1);
 }
+
+TEST_CASE("told beat: the read behind a configuration that is told next confirms no earlier one")
+{
+    const coordinator_beat last{.configuration = 7, .configuration_age = 9};
+    const auto next = told_beat({.configuration = 8, .configuration_age = 1}, last);
+    CHECK(next.configuration == 7);
+    CHECK(next.configuration_age == unknown_age);
+    const auto same = told_beat({.configuration = 7, .configuration_age = 1}, last);
+    CHECK(same.configuration_age == 1);
+}
