--- a/include/quincewing/deployment/platform_adapter.hpp
+++ b/include/quincewing/deployment/platform_adapter.hpp
@@ -18,6 +18,8 @@
     duration store_timeout{millis{900}};
     /// The same of a call that reads the configuration at once, which may be large.
     duration configuration_timeout{seconds{2}};
+    /// The ip that calls to servers leave from; empty: the system's choice.
+    std::string servers_from;
 };
 
 /// Creates the operations on the users' platform. The loop must outlive the result.
--- a/include/quincewing/entry/entry_settings.hpp
+++ b/include/quincewing/entry/entry_settings.hpp
@@ -25,6 +25,8 @@
     std::string metrics;
     /// Address ("ip:port") of the store.
     std::string store;
+    /// The ip that connections to servers leave from; empty: the system's choice.
+    std::string servers_from;
     deployment_bounds bounds;
     /// Bytes of one response that are buffered for a slow caller.
     std::uint64_t answer_buffer{256UL * 1024};
--- a/include/quincewing/http/call_pool.hpp
+++ b/include/quincewing/http/call_pool.hpp
@@ -21,6 +21,8 @@
     duration max_idle{seconds{8}};
     /// Limit of a response body in bytes; received pieces that would exceed it are dropped.
     std::size_t max_response_size{16UL * 1024 * 1024};
+    /// The ip that connections leave from; empty: the system's choice.
+    std::string from;
 };
 
 /// Sends control calls over persistent HTTP/1.1 connections. A call that times out resets its
--- a/include/quincewing/http/client_connection.hpp
+++ b/include/quincewing/http/client_connection.hpp
@@ -45,6 +45,8 @@
 {
     /// "ip:port"
     std::string address;
+    /// The ip that the connection leaves from; empty: the system's choice.
+    std::string from;
     /// Largest response head in bytes.
     std::size_t max_head{64UL * 1024};
     duration connect_timeout{seconds{1}};
--- a/src/app/serve_entry.cpp
+++ b/src/app/serve_entry.cpp
@@ -93,7 +93,9 @@
     }
     std::signal(SIGPIPE, SIG_IGN);
     event_loop loop;
-    entry_host host{loop, *settings, make_platform_adapter(loop, {.store = settings->store})};
+    entry_host host{loop, *settings,
+                    make_platform_adapter(
+                        loop, {.store = settings->store, .servers_from = settings->servers_from})};
     if (const auto failed = host.start(); !failed.empty()) {
         log_event("cannot_listen", {{"address", failed}});
         return cannot_listen;
--- a/src/libs/http/call_pool.cpp
+++ b/src/libs/http/call_pool.cpp
@@ -42,7 +42,7 @@
 };
 
 call_pool::call_pool(event_loop& loop, call_pool_options options)
-    : loop_(loop), options_(options), cleanup_timer_(loop, [this] { remove_expired(); }),
+    : loop_(loop), options_(std::move(options)), cleanup_timer_(loop, [this] { remove_expired(); }),
       start_timer_(loop, [this] {
           for (auto& [address, state] : addresses_) {
               start_pending(address);
@@ -107,7 +107,8 @@
     const auto left = std::max<duration>(call.deadline - monotonic_now(), millis{1});
     if (!it.connection) {
         it.connection = std::make_unique<client_connection>(
-            loop_, client_connection_options{.address = it.address, .connect_timeout = left});
+            loop_, client_connection_options{
+                       .address = it.address, .from = options_.from, .connect_timeout = left});
         it.connection->set_on_idle_close([&it] { it.closed = true; });
     }
     auto* pooled = &it;
--- a/src/libs/http/client_connection.cpp
+++ b/src/libs/http/client_connection.cpp
@@ -1,5 +1,6 @@
 #include "quincewing/http/client_connection.hpp"
 
+#include "quincewing/net/bound_socket.hpp"
 #include "quincewing/net/endpoint.hpp"
 #include "quincewing/net/reset_on_close.hpp"
 
@@ -80,7 +81,8 @@
 void client_connection::connect()
 {
     const auto to = parse_endpoint(options_.address);
-    bev_ = bufferevent_socket_new(loop_.base(), -1, BEV_OPT_CLOSE_ON_FREE);
+    const auto fd = options_.from.empty() ? -1 : open_socket_from(options_.from);
+    bev_ = bufferevent_socket_new(loop_.base(), fd, BEV_OPT_CLOSE_ON_FREE);
     bufferevent_setcb(
         bev_, [](bufferevent*, void* arg) { static_cast<client_connection*>(arg)->on_readable(); },
         nullptr,
--- a/src/plugins/entry/server_connections.cpp
+++ b/src/plugins/entry/server_connections.cpp
@@ -36,8 +36,9 @@
     }
     ++opened_total_;
     return std::make_unique<client_connection>(
-        context_.loop,
-        client_connection_options{.address = address, .connect_timeout = connect_timeout});
+        context_.loop, client_connection_options{.address = address,
+                                                 .from = context_.settings.servers_from,
+                                                 .connect_timeout = connect_timeout});
 }
 
 void server_connections::release(std::unique_ptr<client_connection> it)
--- a/src/plugins/peers/peer_link.cpp
+++ b/src/plugins/peers/peer_link.cpp
@@ -2,15 +2,13 @@
 
 #include "forward_headers.hpp"
 
+#include "quincewing/net/bound_socket.hpp"
 #include "quincewing/net/endpoint.hpp"
 
 #include <algorithm>
-#include <arpa/inet.h>
 #include <cerrno>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
 namespace quincewing {
 
@@ -27,20 +25,6 @@
     bool whole{};
 };
 
-/// A socket whose connections leave from the ip of this address; -1 when there is none.
-int socket_from(const std::string& address)
-{
-    const auto fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-    sockaddr_in from{};
-    from.sin_family = AF_INET;
-    inet_pton(AF_INET, parse_endpoint(address).ip.c_str(), &from.sin_addr);
-    if (fd >= 0 && bind(fd, reinterpret_cast<sockaddr*>(&from), sizeof from) != 0) {
-        close(fd);
-        return -1;
-    }
-    return fd;
-}
-
 } // namespace
 
 peer_link::peer_link(event_loop& loop, peers_task& owner, std::string address)
@@ -69,7 +53,8 @@
 {
     const auto to = parse_endpoint(address_);
     connected_ = false;
-    auto* bev = bufferevent_socket_new(loop_.base(), socket_from(owner_.options_.listen),
+    auto* bev = bufferevent_socket_new(loop_.base(),
+                                       open_socket_from(parse_endpoint(owner_.options_.listen).ip),
                                        BEV_OPT_CLOSE_ON_FREE);
     connection_ = std::make_unique<h2_connection>(
         loop_, false, bev,
--- a/tests/auto/deployment/configuration_currency_test.cpp
+++ b/tests/auto/deployment/configuration_currency_test.cpp
@@ -80,8 +80,8 @@
             }
             if (any(0, 10) == 0) {
                 // A read, the host's own or another's, that is told late and in any order.
-                in_flight.push_back({now + millis{any(0, 3000)},
-                                     config_version{acknowledged.size()}, now});
+                in_flight.push_back(
+                    {now + millis{any(0, 3000)}, config_version{acknowledged.size()}, now});
             }
             std::erase_if(in_flight, [&](const read_result& it) {
                 if (it.arrives > now) {
--- a/tests/auto/routing/configuration_changes_test.cpp
+++ b/tests/auto/routing/configuration_changes_test.cpp
@@ -32,8 +32,8 @@
             {.name = "r" + std::to_string(i),
              .host = "h" + std::to_string(i % 3),
              .path_prefix = "/" + std::to_string(i) + "/",
-             .retry = any(random, 0, 1) == 0 ? retry_policy::idempotent
-                                             : retry_policy::at_most_once,
+             .retry =
+                 any(random, 0, 1) == 0 ? retry_policy::idempotent : retry_policy::at_most_once,
              .timeout = millis{any(random, 1, 3) * 1000},
              .shares = {{.service = service_id{"a"},
                          .weight = static_cast<std::uint32_t>(any(random, 1, 2))}}});
@@ -61,8 +61,7 @@
         random_source random{seed};
         const auto from = random_configuration(random, 4);
         const auto to = random_configuration(random, 9);
-        const auto sent =
-            codec::decode<configuration_changes>(codec::encode(difference(from, to)));
+        const auto sent = codec::decode<configuration_changes>(codec::encode(difference(from, to)));
         REQUIRE(sent);
         CHECK_MESSAGE(same(apply_configuration_changes(from, *sent), to), "seed ", seed);
         const auto whole = difference(configuration{}, to);
--- a/tests/standins/http_server.cpp
+++ b/tests/standins/http_server.cpp
@@ -21,7 +21,9 @@
             static_cast<http_server*>(arg)->handle_(request);
         },
         this);
-    listening_ = evhttp_bind_socket(http_, at.ip.c_str(), at.port) == 0;
+    if (auto* socket = evhttp_bind_socket_with_handle(http_, at.ip.c_str(), at.port)) {
+        fd_ = evhttp_bound_socket_get_fd(socket);
+    }
 }
 
 http_server::~http_server()
@@ -58,6 +60,14 @@
     return out;
 }
 
+std::string caller_of(evhttp_request* request)
+{
+    char* ip = nullptr;
+    ev_uint16_t port = 0;
+    evhttp_connection_get_peer(evhttp_request_get_connection(request), &ip, &port);
+    return ip == nullptr ? "" : ip;
+}
+
 std::string header_of(evhttp_request* request, const char* name)
 {
     const auto* it = evhttp_find_header(evhttp_request_get_input_headers(request), name);
--- a/tests/standins/http_server.hpp
+++ b/tests/standins/http_server.hpp
@@ -20,12 +20,14 @@
     http_server(const http_server&) = delete;
     http_server& operator=(const http_server&) = delete;
 
-    [[nodiscard]] bool listening() const { return listening_; }
+    [[nodiscard]] bool listening() const { return fd_ >= 0; }
+    /// The listening socket; negative if there is none.
+    [[nodiscard]] int fd() const { return fd_; }
 
 private:
     handler handle_;
     evhttp* http_;
-    bool listening_{};
+    int fd_{-1};
 };
 
 using values = std::map<std::string, std::string>;
@@ -33,6 +35,8 @@
 std::string path_of(evhttp_request* request);
 values query_of(evhttp_request* request);
 std::string body_of(evhttp_request* request);
+/// The caller's ip.
+std::string caller_of(evhttp_request* request);
 std::string header_of(evhttp_request* request, const char* name);
 void reply(evhttp_request* request, int status, const std::string& body);
 /// A number of the query, or the default.
