RECOVER, CONFIG: what a review of the change found

A host that was told of a version which the store does not show asked nobody else for it; it asks another host after each such read, and reads the newest record next. A host asked to send a request on, which may not (its server rests or leaves), was taken for one that does not reach the server. A probe of which nothing is heard held up all others.

--- a/src/plugins/entry/configuration_follower.cpp
+++ b/src/plugins/entry/configuration_follower.cpp
@@ -140,6 +140,11 @@
         const bool waited = page.records.empty() && now - sent >= wait;
         context_.view.currency().on_newest(now, applied.version, waited ? sent + wait : sent);
     }
+    if (!behind && context_.view.currency().behind()) {
+        // The store does not have, where it was told to be, what another host has read.
+        snapshot_needed_ = true;
+        hooks_.on_unknown();
+    }
     const bool at_once = behind || (watching_ && applied.version != config_version{});
     next_read_ = at_once ? now : now + read_interval;
 }
--- a/src/plugins/entry/reach_task.cpp
+++ b/src/plugins/entry/reach_task.cpp
@@ -12,6 +12,8 @@
 namespace {
 
 constexpr millis probe_timeout{250};
+// A probe of which nothing was heard for so long does not hold up the next.
+constexpr seconds probe_forgotten_after{2};
 // A shorter cut is not told to others.
 constexpr millis settle_time{300};
 constexpr seconds question_interval{1};
@@ -232,7 +234,7 @@
 // The end of a cut is found by connections of this host's own, not by requests. One at a time.
 void reach_task::probe(instant now)
 {
-    if (probe_pending_) {
+    if (probe_pending_ && now - probe_sent_ < probe_forgotten_after) {
         return;
     }
     const auto due = servers_.next_probe(now);
@@ -241,6 +243,7 @@
         return;
     }
     probe_pending_ = true;
+    probe_sent_ = now;
     check_connect(
         context_.loop, found->second.address, probe_timeout,
         [this, server = found->second, now](connect_result result) {
--- a/src/plugins/entry/reach_task.hpp
+++ b/src/plugins/entry/reach_task.hpp
@@ -84,6 +84,7 @@
     instant next_question_{};
     instant better_placed_until_{};
     bool probe_pending_{};
+    instant probe_sent_{};
     std::minstd_rand random_;
 };
 
--- a/src/plugins/entry/request_relay.cpp
+++ b/src/plugins/entry/request_relay.cpp
@@ -74,21 +74,14 @@
     return it.request.idempotent ? duration{seconds{3600}} : context_.settings.fresh_connection;
 }
 
-const backend_server* request_relay::find_server(const exchange& it) const
-{
-    const auto* server = context_.view.find_usable_server(it.server);
-    const bool usable = server != nullptr && still_usable(*server);
-    return usable && reach_.reaches(*server, max_idle_of(it)) ? server : nullptr;
-}
-
 void request_relay::on_request(const exchange_ptr& it)
 {
-    if (!may_take(*it)) {
+    const auto* server = context_.view.find_usable_server(it->server);
+    if (!may_take(*it) || server == nullptr || !still_usable(*server)) {
         tell_loss(it, to_string(connection_loss::withdrawn), false);
         return;
     }
-    const auto* server = find_server(*it);
-    if (server == nullptr) {
+    if (!reach_.reaches(*server, max_idle_of(*it))) {
         tell_loss(it, to_string(connection_loss::not_connected), false);
         return;
     }
--- a/src/plugins/entry/request_relay.hpp
+++ b/src/plugins/entry/request_relay.hpp
@@ -44,8 +44,6 @@
     struct relay;
     using relay_ptr = std::shared_ptr<relay>;
 
-    /// Why the request can't be sent from here; the state of a server that can.
-    [[nodiscard]] const backend_server* find_server(const exchange& it) const;
     [[nodiscard]] bool may_take(const exchange& it) const;
     [[nodiscard]] bool still_usable(const backend_server& server) const;
     [[nodiscard]] duration max_idle_of(const exchange& it) const;
--- a/tests/auto/dispatch/server_reachability_test.cpp
+++ b/tests/auto/dispatch/server_reachability_test.cpp
@@ -67,7 +67,8 @@
     CHECK(it.unreachable().empty());
 }
 
-TEST_CASE("reachability: while connections are accepted and break, an answer to a trial ends the cut")
+TEST_CASE(
+    "reachability: while connections are accepted and break, an answer to a trial ends the cut")
 {
     instant now{seconds{10}};
     auto it = with_servers(31);
