RECOVER: a server that answered shortly ago is not lost when two hosts fail at it

Cause, by the order of events: two cut hosts fail at a server between two answers to others, and the dispatcher takes it to be lost for 0.4 s. Change: a loss counts only if the server has answered nobody for 200 ms, nor since the attempt began.

--- a/include/quincewing/dispatch/server_estimate.hpp
+++ b/include/quincewing/dispatch/server_estimate.hpp
@@ -23,6 +23,9 @@
     duration max_backoff{seconds{3}};
     /// A loss counts for this time.
     duration loss_memory{seconds{2}};
+    /// A server that answered somebody this shortly ago, or during the attempt, is not lost, but
+    /// out of reach of the host that says so.
+    duration least_silence{millis{200}};
 };
 
 /// Whose report it is, and what the dispatcher knows beside it.
@@ -57,7 +60,7 @@
     [[nodiscard]] std::uint32_t slots_used_by_others(instant now) const;
 
 private:
-    void on_lost(instant now, const report_context& context, const host_id& other);
+    void on_lost(instant now, const report_context& context, const attempt_report& report);
 
     estimate_options options_;
     std::optional<double> processing_time_us_;
@@ -66,6 +69,7 @@
     instant backoff_until_{};
     /// Hosts that lost the server since its last answer, and when.
     std::map<host_id, instant> lost_by_;
+    instant last_answer_at_{};
     std::uint32_t used_by_others_{};
     instant used_by_others_until_{};
 };
--- a/src/libs/dispatch/server_estimate.cpp
+++ b/src/libs/dispatch/server_estimate.cpp
@@ -18,7 +18,7 @@
         used_by_others_until_ = now + processing_time();
     }
     if (report.outcome == attempt_outcome::connection_lost) {
-        on_lost(now, context, report.lost_by_other);
+        on_lost(now, context, report);
         return;
     }
     const bool failed =
@@ -31,18 +31,25 @@
                                                                (us - *processing_time_us_)
                                   : us;
         lost_by_.clear();
+        last_answer_at_ = now;
         backoff_ = duration{0};
         backoff_until_ = {};
     }
 }
 
 // A server that is probed has answered nobody since it was lost: one host's word is enough then.
-void server_estimate::on_lost(instant now, const report_context& context, const host_id& other)
+void server_estimate::on_lost(instant now, const report_context& context,
+                              const attempt_report& report)
 {
+    const auto silence = std::max<duration>(duration{static_cast<duration::rep>(report.took)},
+                                            options_.least_silence);
+    if (context.losing_hosts > 1 && now - last_answer_at_ < silence) {
+        return;
+    }
     std::erase_if(lost_by_, [&](const auto& it) { return now - it.second > options_.loss_memory; });
     lost_by_[context.from] = now;
-    if (!other.value.empty()) {
-        lost_by_[other] = now;
+    if (!report.lost_by_other.value.empty()) {
+        lost_by_[report.lost_by_other] = now;
     }
     if (!probing() && lost_by_.size() < context.losing_hosts) {
         return;
--- a/src/plugins/entry/request_flow_server.cpp
+++ b/src/plugins/entry/request_flow_server.cpp
@@ -364,6 +364,7 @@
     }
     const bool sent = channel() != nullptr && channel()->sent();
     const auto took = monotonic_now() - sent_at_;
+    report_.took = static_cast<std::uint64_t>(took.count());
     log_event("server_lost", {{"request", id_},
                               {"server", server_.id.value},
                               {"how", to_string(how)},
@@ -383,7 +384,6 @@
         on_not_sent(how);
         return;
     }
-    report_.took = static_cast<std::uint64_t>(took.count());
     const bool cut = services_.reach.cut_off() || how == connection_loss::host_lost;
     leave_server(cut ? attempt_outcome::host_cut_off : attempt_outcome::connection_lost, false);
     if (sent && (how == connection_loss::closed || how == connection_loss::reset)) {
--- a/tests/auto/dispatch/waiting_requests_test.cpp
+++ b/tests/auto/dispatch/waiting_requests_test.cpp
@@ -211,3 +211,42 @@
         CHECK(target.take_decisions().grants.size() == 1);
     }
 }
+
+// Two hosts that are cut off fail at the same time, between two answers to others.
+TEST_CASE("dispatcher: a server that answered shortly ago is not lost when two hosts fail")
+{
+    instant now{seconds{10}};
+    dispatcher target;
+    target.set_losing_hosts(2);
+    target.set_servers({server_of("s1", 4)});
+    const auto fail_twice = [&](duration took) {
+        for (const char* host : {"a/1", "b/1"}) {
+            const dispatch_ticket it{.host = host_id{host}, .number = 1};
+            target.submit(now, it, request_of(seconds{1}, seconds{1}));
+            target.finish(now, it,
+                          {.outcome = attempt_outcome::connection_lost,
+                           .took = static_cast<std::uint64_t>(took.count())});
+        }
+        target.take_decisions();
+    };
+    const auto granted = [&] {
+        const dispatch_ticket it{.host = host_id{"c/1"}, .number = 1};
+        target.submit(now, it, request_of(seconds{1}, seconds{1}));
+        const bool out = !target.take_decisions().grants.empty();
+        target.finish(now, it, {.outcome = attempt_outcome::unused});
+        return out;
+    };
+    const dispatch_ticket well{.host = host_id{"c/1"}, .number = 2};
+    target.submit(now, well, request_of(seconds{1}, seconds{1}));
+    target.finish(now, well, {.outcome = attempt_outcome::answered, .took = 1000});
+    target.take_decisions();
+    now += millis{60};
+    fail_twice(millis{1});
+    CHECK(granted());
+    now += millis{180};
+    fail_twice(millis{250});
+    CHECK(granted());
+    now += millis{100};
+    fail_twice(millis{1});
+    CHECK_FALSE(granted());
+}
