--- a/src/plugins/entry/reach_task.cpp
+++ b/src/plugins/entry/reach_task.cpp
@@ -56,7 +56,7 @@
 }
 
 // Kept ready, as a host that is cut off asks for each request.
-void reach_task::list_ways()
+void reach_task::list_relay_hosts()
 {
     const data_centre_id own{context_.settings.data_centre};
     near_.clear();
@@ -68,7 +68,7 @@
     }
 }
 
-std::optional<host_id> reach_task::choose_way(const std::set<host_id>& tried)
+std::optional<host_id> reach_task::choose_relay_host(const std::set<host_id>& tried)
 {
     for (const auto* hosts : {&near_, &far_}) {
         const auto n = hosts->size();
@@ -119,7 +119,7 @@
 {
     hosts_[host] = data_centre;
     cut_hosts_.erase(host);
-    list_ways();
+    list_relay_hosts();
     if (told_cut_) {
         tell(host, true);
     }
@@ -130,13 +130,13 @@
     hosts_.erase(host);
     cut_hosts_.erase(host);
     leaving_.erase(host);
-    list_ways();
+    list_relay_hosts();
 }
 
 void reach_task::on_host_leaving(const host_id& host)
 {
     leaving_.insert(host);
-    list_ways();
+    list_relay_hosts();
 }
 
 void reach_task::on_message(const host_id& from, const host_reach& it)
@@ -146,7 +146,7 @@
     } else {
         cut_hosts_.erase(from);
     }
-    list_ways();
+    list_relay_hosts();
 }
 
 void reach_task::tell(const host_id& to, bool cut_off)
@@ -188,7 +188,7 @@
         return;
     }
     next_question_ = now + question_interval;
-    if (const auto host = choose_way({})) {
+    if (const auto host = choose_relay_host({})) {
         auto servers = unreachable_owners();
         servers.resize(std::min(servers.size(), max_asked));
         peers_.send(*host, reach_question{.servers = std::move(servers)});
--- a/src/plugins/entry/reach_task.hpp
+++ b/src/plugins/entry/reach_task.hpp
@@ -38,7 +38,7 @@
     [[nodiscard]] bool should_stand_aside(instant now) const;
     /// A host that requests can go by way of, the nearest first; none if there is none beside
     /// these.
-    std::optional<host_id> choose_way(const std::set<host_id>& tried);
+    std::optional<host_id> choose_relay_host(const std::set<host_id>& tried);
 
     void on_connected(const backend_server& server);
     void on_answer() { servers_.on_answer(); }
@@ -57,7 +57,7 @@
     void tick(instant now, bool coordinates);
 
 private:
-    void list_ways();
+    void list_relay_hosts();
     void probe(instant now);
     void note_cut(instant now);
     /// Servers of keyed services that this host does not reach.
--- a/src/plugins/entry/relayed_request.cpp
+++ b/src/plugins/entry/relayed_request.cpp
@@ -46,7 +46,7 @@
     };
     sent_ = true;
     hooks_.on_sent();
-    peers.forward(options_.way, exchange_, [self](const forward_failure& failure) {
+    peers.forward(options_.relay_host, exchange_, [self](const forward_failure& failure) {
         const auto it = self.lock();
         if (!it) {
             return;
--- a/src/plugins/entry/relayed_request.hpp
+++ b/src/plugins/entry/relayed_request.hpp
@@ -13,7 +13,7 @@
 struct relayed_request_options
 {
     /// The host that the request goes by way of, and the server that it is for.
-    host_id way;
+    host_id relay_host;
     server_id server;
     /// The request as the server gets it, head and body.
     std::string method;
@@ -40,7 +40,7 @@
     void abort() override;
     /// False again once the other host has stated that it did not send the request.
     [[nodiscard]] bool sent() const override { return sent_; }
-    [[nodiscard]] const host_id& way() const { return options_.way; }
+    [[nodiscard]] const host_id& relay_host() const { return options_.relay_host; }
 
 private:
     void on_head(const response_head& head);
--- a/src/plugins/entry/request_flow.hpp
+++ b/src/plugins/entry/request_flow.hpp
@@ -79,7 +79,7 @@
     [[nodiscard]] server_channel_hooks channel_hooks();
     void send_directly();
     /// Sends by way of another host. False: there is none that was not tried yet.
-    [[nodiscard]] bool send_by_other_host();
+    [[nodiscard]] bool send_by_relay();
     /// The way of the request that is at a server; nullptr when none is.
     [[nodiscard]] server_channel* channel() const;
     /// The connection to the server, or another host's, was not made.
@@ -127,7 +127,7 @@
     /// Times that a request is sent on to another owner of its key.
     static constexpr int max_owner_misses = 3;
     /// Other hosts that one send is tried by way of.
-    static constexpr std::size_t max_ways = 2;
+    static constexpr std::size_t max_relay_hosts = 2;
 
     host_context context_;
     flow_services& services_;
@@ -152,7 +152,7 @@
     std::unique_ptr<client_connection> connection_;
     std::shared_ptr<relayed_request> relayed_;
     /// Hosts that this send went by way of without reaching the server.
-    std::set<host_id> ways_tried_;
+    std::set<host_id> relays_tried_;
     quincewing::verdict verdict_before_send_{quincewing::verdict::not_run};
     send_history history_;
     /// Times that the chosen server was not usable or did not own the key any more.
--- a/src/plugins/entry/request_flow_send.cpp
+++ b/src/plugins/entry/request_flow_send.cpp
@@ -45,12 +45,12 @@
 {
     stage_ = stage::at_server;
     history_.on_send(server_.id);
-    ways_tried_.clear();
+    relays_tried_.clear();
     verdict_before_send_ = verdict_;
     auto& reach = services_.reach;
     if (reach.reaches(server_, max_idle()) || reach.take_trial(idempotent())) {
         send_directly();
-    } else if (!send_by_other_host()) {
+    } else if (!send_by_relay()) {
         leave_unreachable("unreachable");
     }
 }
@@ -93,16 +93,17 @@
                       channel_hooks());
 }
 
-bool request_flow::send_by_other_host()
+bool request_flow::send_by_relay()
 {
-    const auto way =
-        ways_tried_.size() < max_ways ? services_.reach.choose_way(ways_tried_) : std::nullopt;
-    if (!way) {
+    const auto relay_host = relays_tried_.size() < max_relay_hosts
+                                ? services_.reach.choose_relay_host(relays_tried_)
+                                : std::nullopt;
+    if (!relay_host) {
         return false;
     }
-    ways_tried_.insert(*way);
+    relays_tried_.insert(*relay_host);
     relayed_ = std::make_shared<relayed_request>(
-        relayed_request_options{.way = *way,
+        relayed_request_options{.relay_host = *relay_host,
                                 .server = server_.id,
                                 .method = exchange_->head.method,
                                 .bytes = server_request_head() + exchange_->body,
@@ -142,7 +143,7 @@
     }
     if (relayed_) {
         report_.lost_by_other =
-            how == connection_loss::withdrawn ? report_.lost_by_other : relayed_->way();
+            how == connection_loss::withdrawn ? report_.lost_by_other : relayed_->relay_host();
         relayed_.reset();
     }
     if (exchange_->disconnected()) {
@@ -151,7 +152,7 @@
         return;
     }
     const bool usable = services_.may_start_requests() && server_still_usable();
-    if (usable && time_left() > millis{20} && send_by_other_host()) {
+    if (usable && time_left() > millis{20} && send_by_relay()) {
         return;
     }
     leave_unreachable(to_string(how));
--- a/src/plugins/entry/request_flow_server.cpp
+++ b/src/plugins/entry/request_flow_server.cpp
@@ -224,7 +224,7 @@
                               {"server", server_.id.value},
                               {"how", to_string(how)},
                               {"sent", sent ? "yes" : "no"},
-                              {"way", relayed_ ? relayed_->way().value : ""},
+                              {"relay_host", relayed_ ? relayed_->relay_host().value : ""},
                               {"contents", fingerprint_},
                               {"caller", exchange_->caller},
                               {"took", took}});
