--- a/include/quincewing/codec/codec.hpp
+++ b/include/quincewing/codec/codec.hpp
@@ -16,9 +16,9 @@
 #include <variant>
 #include <vector>
 
-/// MessagePack for types that list their members in each_field. A struct is an array:
-/// missing trailing members keep their defaults and unknown ones are passed over, so
-/// hosts of neighbouring versions understand each other.
+/// MessagePack for types that list their members in each_field. A struct is an array: missing
+/// trailing members keep their defaults and unknown ones are passed over, so that builds understand
+/// each other as long as members and alternatives are only added at the end.
 namespace quincewing::codec {
 
 /// Calls for every member; lets is_fielded detect the method.
@@ -144,6 +144,11 @@
     return from.via.array;
 }
 
+/// A later build's alternative of a variant.
+struct unknown_alternative : msgpack::type_error
+{
+};
+
 template <class T>
 void get(const msgpack::object& from, T& it);
 
@@ -151,7 +156,7 @@
 void get_alternative(std::uint64_t index, const msgpack::object& from, T& it)
 {
     if constexpr (I == std::variant_size_v<T>) {
-        throw msgpack::type_error{};
+        throw unknown_alternative{};
     } else if (index == I) {
         get(from, it.template emplace<I>());
     } else {
@@ -223,12 +228,25 @@
     return {buf.data(), buf.size()};
 }
 
+/// Largest counts and sizes that are read; the library makes room for what a header says before it
+/// reads on.
+inline const msgpack::unpack_limit& read_limits()
+{
+    constexpr std::size_t max_items = 4UL * 1024 * 1024;
+    constexpr std::size_t max_bytes = 64UL * 1024 * 1024;
+    constexpr std::size_t max_depth = 64;
+    static const msgpack::unpack_limit out{max_items, max_items, max_bytes,
+                                           max_bytes, max_bytes, max_depth};
+    return out;
+}
+
 /// The value, or what is wrong with the bytes.
 template <class T>
 tl::expected<T, std::string> decode(std::string_view buf)
 {
     try {
-        const auto handle = msgpack::unpack(buf.data(), buf.size());
+        const auto handle =
+            msgpack::unpack(buf.data(), buf.size(), nullptr, nullptr, read_limits());
         T it{};
         get(handle.get(), it);
         return it;
--- a/include/quincewing/peers/peers_task.hpp
+++ b/include/quincewing/peers/peers_task.hpp
@@ -28,6 +28,8 @@
     std::uint64_t bytes_sent{};
     std::uint64_t bytes_received{};
     std::uint64_t unreadable{};
+    /// Messages of a later build that this one does not know.
+    std::uint64_t unknown{};
     std::uint64_t forwarded{};
     std::uint64_t reconnects{};
 };
@@ -87,6 +89,7 @@
     friend class peer_session;
 
     void on_accept(int fd);
+    void deliver(const envelope& it);
     void drop_session(peer_session* it);
     void drop_link(const std::string& address);
     void on_refused(peer_link& it);
--- a/src/plugins/entry/entry_host.cpp
+++ b/src/plugins/entry/entry_host.cpp
@@ -170,6 +170,9 @@
               metrics.gauge("quincewing_coordinating") = coordination.core().coordinating() ? 1 : 0;
               metrics.gauge("quincewing_cut_off_from_servers") = reach.cut_off() ? 1 : 0;
               metrics.counter("quincewing_peer_bytes_sent_total") = peers.counts().bytes_sent;
+              metrics.counter("quincewing_peer_messages_unknown_total") = peers.counts().unknown;
+              metrics.counter("quincewing_peer_messages_unreadable_total") =
+                  peers.counts().unreadable;
               metrics.gauge("quincewing_log_lines_left_out") =
                   static_cast<double>(standard_log().left_out());
           },
--- a/src/plugins/peers/peer_session.cpp
+++ b/src/plugins/peers/peer_session.cpp
@@ -2,15 +2,19 @@
 
 #include "forward_headers.hpp"
 
-#include "quincewing/codec/codec.hpp"
+#include "quincewing/logging/event_log.hpp"
 
-#include <cstring>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 
 namespace quincewing {
 
-peer_session::peer_session(event_loop& loop, peers_task& owner, int fd) : owner_(owner)
+peer_session::peer_session(event_loop& loop, peers_task& owner, int fd)
+    : owner_(owner),
+      reader_({.on_envelope = [this](const envelope& it) { owner_.deliver(it); },
+               .on_unknown = [this] { ++owner_.counts_.unknown; },
+               .on_unreadable = [this](const std::string& error) { on_unreadable(error); }}),
+      fail_timer_(loop, [this] { connection_->fail(0); })
 {
     auto* bev = bufferevent_socket_new(loop.base(), fd, BEV_OPT_CLOSE_ON_FREE);
     connection_ = std::make_unique<h2_connection>(
@@ -45,28 +49,20 @@
         owner_.hooks_.on_visitor(host_id{*visitor});
     }
     it.on_data = [this](h2_stream&, const std::uint8_t* data, std::size_t n) {
-        feed_messages(data, n);
+        if (!unreadable_ && !reader_.feed(data, n)) {
+            // The other host connects anew and starts from a whole message. Not at once: this
+            // stream is in use.
+            unreadable_ = true;
+            fail_timer_.soon();
+        }
         return n;
     };
 }
 
-// Messages follow each other without frames of their own: MessagePack knows where each ends.
-void peer_session::feed_messages(const std::uint8_t* data, std::size_t n)
+void peer_session::on_unreadable(const std::string& error)
 {
-    unpacker_.reserve_buffer(n);
-    std::memcpy(unpacker_.buffer(), data, n);
-    unpacker_.buffer_consumed(n);
-    try {
-        msgpack::object_handle handle;
-        while (unpacker_.next(handle)) {
-            envelope it;
-            codec::get(handle.get(), it);
-            ++owner_.counts_.messages_received;
-            owner_.hooks_.on_message(it);
-        }
-    } catch (const std::exception&) {
-        ++owner_.counts_.unreadable;
-    }
+    ++owner_.counts_.unreadable;
+    log_event("message_unreadable", {{"host", visitor_.value}, {"error", error}});
 }
 
 void peer_session::take_request(h2_stream& it)
--- a/src/plugins/peers/peer_session.hpp
+++ b/src/plugins/peers/peer_session.hpp
@@ -3,9 +3,9 @@
 #include "h2_connection.hpp"
 
 #include "quincewing/peers/peers_task.hpp"
+#include "quincewing/wire/envelope_reader.hpp"
 
 #include <memory>
-#include <msgpack.hpp>
 
 namespace quincewing {
 
@@ -20,15 +20,18 @@
 private:
     void on_stream(h2_stream& it);
     void take_messages(h2_stream& it);
-    void feed_messages(const std::uint8_t* data, std::size_t n);
+    void on_unreadable(const std::string& error);
     void take_request(h2_stream& it);
     void connect_answer(const exchange_ptr& request, std::int32_t stream);
 
     peers_task& owner_;
-    msgpack::unpacker unpacker_;
+    envelope_reader reader_;
     std::unique_ptr<h2_connection> connection_;
     /// The host that opened the connection; empty until it has introduced itself.
     host_id visitor_;
+    /// What the other host sent is no message.
+    bool unreadable_{};
+    timer fail_timer_;
 };
 
 } // namespace quincewing
--- a/src/plugins/peers/peers_task.cpp
+++ b/src/plugins/peers/peers_task.cpp
@@ -4,11 +4,13 @@
 #include "peer_session.hpp"
 
 #include "quincewing/base/hash.hpp"
+#include "quincewing/logging/event_log.hpp"
 #include "quincewing/net/endpoint.hpp"
 
 #include <algorithm>
 #include <arpa/inet.h>
 #include <event2/listener.h>
+#include <exception>
 
 namespace quincewing {
 
@@ -53,6 +55,18 @@
     sessions_.push_back(std::make_unique<peer_session>(loop_, *this, fd));
 }
 
+// An error in one message's handler must not end the process, nor the messages behind it.
+void peers_task::deliver(const envelope& it)
+{
+    ++counts_.messages_received;
+    try {
+        hooks_.on_message(it);
+    } catch (const std::exception& e) {
+        log_event("message_failed",
+                  {{"host", it.from.value}, {"kind", it.body.index()}, {"error", e.what()}});
+    }
+}
+
 void peers_task::drop_session(peer_session* it)
 {
     const auto found = std::find_if(sessions_.begin(), sessions_.end(),
--- a/tests/auto/support/test_options.hpp
+++ b/tests/auto/support/test_options.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <string>
 
 namespace quincewing::testing {
 
@@ -12,6 +13,9 @@
     std::uint64_t schedules{0};
     /// Only the one schedule with the seed, told in full.
     bool only{false};
+    /// File to which the encoded forms of this build are written; empty: none. For a build that
+    /// lands: --write-wire-forms=tests/auto/wire/landed/COMMIT.txt
+    std::string write_wire_forms;
 };
 
 test_options& options();
