--- a/include/quincewing/assignment/assignment_table.hpp
+++ b/include/quincewing/assignment/assignment_table.hpp
@@ -4,6 +4,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <span>
 #include <string>
 #include <string_view>
 #include <tl/expected.hpp>
@@ -87,8 +88,13 @@
     /// Sorted by service and first key; the ranges of a service do not overlap.
     std::vector<assigned_range> ranges;
 
+    bool operator==(const assignment_table&) const = default;
     /// The range that contains the key; nullptr if the key was never assigned.
     [[nodiscard]] const assigned_range* find(const service_id& service, key_number key) const;
+    /// The ranges that have some of the keys; if there are none, empty, at the place where a range
+    /// with these keys belongs.
+    [[nodiscard]] std::span<const assigned_range> overlapping(const service_id& service,
+                                                              key_range keys) const;
     template <class F>
     void each_field(F&& f)
     {
--- a/include/quincewing/assignment/coordinator.hpp
+++ b/include/quincewing/assignment/coordinator.hpp
@@ -34,10 +34,15 @@
     duration degraded_after{millis{1300}};
     duration grant_timeout{millis{800}};
     duration release_timeout{seconds{3}};
+    /// Most calls that one tick starts. A burst of all renewals would occupy the host for longer
+    /// than the timeout of a call.
+    std::size_t max_calls_per_tick{100};
     /// Delay before a failed call is repeated.
     duration call_retry_delay{millis{150}};
     /// Time without heartbeats after which another host takes over the term.
     duration takeover_timeout{millis{1000}};
+    /// A host that has just started takes no term for this time.
+    duration takeover_start_delay{0};
     /// The first assignment waits until the number of servers has not changed for this time, so
     /// that servers that start together all get keys.
     duration initial_assignment_delay{millis{1200}};
@@ -59,6 +64,8 @@
     /// The previous owner no longer holds the keys; with_handoff: it returned a handoff token.
     std::function<void(const assigned_range&, bool with_handoff)> on_released;
     std::function<void(const assigned_range&)> on_grant_fenced;
+    /// The owner confirmed a grant of keys that it did not hold.
+    std::function<void(const assigned_range&)> on_held;
 };
 
 /// Assigns keys to servers. Every host runs one; at most one in the deployment acts at a time.
@@ -134,6 +141,7 @@
     };
     struct pending_call
     {
+        service_id service;
         /// Fence and first key.
         std::pair<std::uint64_t, key_number> range;
         key_holder holder;
@@ -149,18 +157,29 @@
     void request_read(instant now);
     void adopt_table(assignment_table table);
     void carry_over_states(const assignment_table& next);
+    [[nodiscard]] std::optional<range_state> carried_state(const assigned_range& range) const;
     /// Once the host stops: takes its name out of the table, unless an append is under way.
     void give_up_term(instant now);
     void begin_term(instant now);
     void lose_term(const char* why);
     void start_append(instant now, assignment_table next);
     void try_takeover(instant now);
+    void advance_ranges(instant now);
     void advance_range(instant now, const assigned_range& range);
+    void on_grant(instant now, const assigned_range& range, const pending_call& call,
+                  call_outcome outcome, connection_number connection);
+    void on_release(instant now, const assigned_range& range, call_outcome outcome,
+                    std::string handoff);
     void release_previous_owner(instant now, const assigned_range& range, range_state& state);
     void grant_range(instant now, const assigned_range& range, range_state& state);
     void update_table(instant now);
+    /// A change other than moves waits for an append.
+    [[nodiscard]] bool has_unstored_change() const;
     bool apply_moves(instant now, assignment_table& next);
     void apply_move(assignment_table& next, const planned_move& move) const;
+    /// Makes the server the owner, under a new fence.
+    void take_over(assignment_table& next, assigned_range& range,
+                   const backend_server& server) const;
     static void merge_adjacent_ranges(assignment_table& next);
     bool clear_released_owners(assignment_table& next) const;
     bool assign_new_fences(assignment_table& next);
@@ -190,6 +209,8 @@
     instant store_call_sent_{};
     instant last_read_{};
     instant last_heartbeat_{};
+    /// When the host began to run.
+    std::optional<instant> started_;
     /// Grants of earlier coordinators have ended by then.
     instant inherited_grants_end_{};
     instant next_balance_{};
--- a/include/quincewing/entry/entry_settings.hpp
+++ b/include/quincewing/entry/entry_settings.hpp
@@ -27,6 +27,8 @@
     std::string store;
     /// The ip that connections to servers leave from; empty: the system's choice.
     std::string servers_from;
+    /// Processor cores that the host may use; 0: not known. Hosts with more coordinate first.
+    double cores{};
     deployment_bounds bounds;
     /// Bytes of one response that are buffered for a slow caller.
     std::uint64_t answer_buffer{256UL * 1024};
--- a/include/quincewing/peers/peers_options.hpp
+++ b/include/quincewing/peers/peers_options.hpp
@@ -16,6 +16,8 @@
     /// "ip:port" to listen on; connections to others leave from this ip.
     std::string listen;
     data_centre_id data_centre;
+    /// Processor cores that this host may use; 0: not told to others.
+    double cores{};
     duration ping_every{millis{500}};
     /// A connection on which nothing came for this long is given up and made anew.
     duration silence{millis{1600}};
--- a/include/quincewing/peers/peers_task.hpp
+++ b/include/quincewing/peers/peers_task.hpp
@@ -2,6 +2,7 @@
 
 #include "quincewing/exchange/exchange.hpp"
 #include "quincewing/net/event_loop.hpp"
+#include "quincewing/peers/peer_identity.hpp"
 #include "quincewing/peers/peers_options.hpp"
 #include "quincewing/wire/messages.hpp"
 
@@ -38,7 +39,7 @@
 {
     std::function<void(const envelope&)> on_message;
     /// A link to this host stands.
-    std::function<void(const host_id&, const data_centre_id&)> on_connected;
+    std::function<void(const peer_identity&)> on_connected;
     /// The link to this host fell; it is tried again. May be empty.
     std::function<void(const host_id&)> on_disconnected;
     /// This host opened a connection to here. May be empty.
@@ -71,6 +72,10 @@
     /// Keeps a link to each of these addresses.
     void connect_to(const std::set<std::string>& addresses);
     void send(const host_id& to, const message& body);
+    /// Sends to all connected hosts; with a version, only to those that speak it or a later one.
+    void send_to_all(const message& body, spoken_version least = first_spoken_version);
+    /// Sends to the connected hosts that do not speak this version.
+    void send_to_older(const message& body, spoken_version than);
     /// Sends the request to the host that leads its server. The answer goes to the exchange;
     /// failed is called instead when none began.
     void forward(const host_id& to, const exchange_ptr& it,
@@ -78,8 +83,12 @@
     /// No answer to a forwarded request waits in this process any more.
     [[nodiscard]] bool answers_sent() const;
     [[nodiscard]] bool connected(const host_id& host) const;
-    /// Hosts to which a link stands.
-    [[nodiscard]] std::vector<host_id> connected_hosts() const;
+    /// Hosts to which a link stands, in order of their addresses.
+    [[nodiscard]] const std::vector<host_id>& connected_hosts() const { return connected_; }
+    /// Grows when connected_hosts() changes.
+    [[nodiscard]] std::uint64_t connected_version() const { return connected_version_; }
+    /// What a host told when the link to it was made; nullptr if none stands.
+    [[nodiscard]] const peer_identity* identity_of(const host_id& host) const;
     /// Number of other hosts that were not forgotten, whether or not a link to them stands.
     [[nodiscard]] std::size_t known_hosts() const { return links_.size(); }
     [[nodiscard]] const peers_counts& counts() const { return counts_; }
@@ -88,12 +97,15 @@
     friend class peer_link;
     friend class peer_session;
 
+    [[nodiscard]] peer_identity own_identity() const;
     void on_accept(int fd);
     void deliver(const envelope& it);
     void drop_session(peer_session* it);
     void drop_link(const std::string& address);
     void on_refused(peer_link& it);
-    void on_identity(peer_link& it, const host_id& host, const data_centre_id& data_centre);
+    void on_identity(peer_link& it);
+    void on_link_change();
+    void send_where(const message& body, const std::function<bool(const peer_identity&)>& wanted);
     peer_link* link_to(const host_id& host) const;
 
     event_loop& loop_;
@@ -102,6 +114,8 @@
     peers_counts counts_;
     evconnlistener* listener_{};
     std::map<std::string, std::unique_ptr<peer_link>> links_;
+    std::vector<host_id> connected_;
+    std::uint64_t connected_version_{};
     std::vector<std::unique_ptr<peer_session>> sessions_;
     std::vector<std::unique_ptr<peer_session>> dropped_;
     std::vector<std::unique_ptr<peer_link>> dropped_links_;
--- a/include/quincewing/wire/messages.hpp
+++ b/include/quincewing/wire/messages.hpp
@@ -258,15 +258,21 @@
     }
 };
 
-/// Asks the coordinator for all that it knows.
+/// Asks the coordinator for what the sender lacks.
 struct news_request
 {
+    /// Of the table that the sender has, and where the list of servers that it has changed last; 0
+    /// if it has none. Hosts that speak 1 tell the coordinator's term and no more.
     std::uint64_t term{};
+    std::uint64_t table_revision{};
+    std::uint64_t servers_changed{};
 
     template <class F>
     void each_field(F&& f)
     {
         f(term);
+        f(table_revision);
+        f(servers_changed);
     }
 };
 
@@ -578,6 +584,9 @@
 };
 
 std::string encode_envelope(const envelope& it);
+/// An envelope whose body is encoded already.
+std::string encode_envelope(const host_id& from, const host_id& to, std::string_view body);
+std::string encode_body(const message& body);
 tl::expected<envelope, std::string> decode_envelope(std::string_view buf);
 
 } // namespace quincewing
--- a/src/libs/assignment/assignment_table.cpp
+++ b/src/libs/assignment/assignment_table.cpp
@@ -20,6 +20,18 @@
     return it->service == service && it->keys.contains(key) ? &*it : nullptr;
 }
 
+std::span<const assigned_range> assignment_table::overlapping(const service_id& service,
+                                                              key_range keys) const
+{
+    const auto first = std::partition_point(ranges.begin(), ranges.end(), [&](const auto& it) {
+        return std::tie(it.service, it.keys.last) < std::tie(service, keys.first);
+    });
+    const auto end = std::partition_point(first, ranges.end(), [&](const auto& it) {
+        return std::tie(it.service, it.keys.first) <= std::tie(service, keys.last);
+    });
+    return {first, end};
+}
+
 std::string encode_table(const assignment_table& table)
 {
     return codec::encode(table);
--- a/src/libs/assignment/coordinator.cpp
+++ b/src/libs/assignment/coordinator.cpp
@@ -1,7 +1,7 @@
 #include "quincewing/assignment/coordinator.hpp"
 
 #include <algorithm>
-#include <tuple>
+#include <iterator>
 
 namespace quincewing {
 
@@ -80,10 +80,17 @@
     }
 }
 
+// A version is stored once, so the same one needs no second look.
 void coordinator::adopt_table(assignment_table table)
 {
+    if (table.term == table_.term && table.revision == table_.revision) {
+        return;
+    }
     carry_over_states(table);
     table_ = std::move(table);
+    if (range_states_.empty() && known_released_.empty()) {
+        return;
+    }
     std::set<std::pair<std::uint64_t, key_number>> present;
     for (const auto& range : table_.ranges) {
         present.insert({range.fence, range.keys.first});
@@ -96,33 +103,42 @@
 // the ranges that it was made from are still valid.
 void coordinator::carry_over_states(const assignment_table& next)
 {
+    if (range_states_.empty()) {
+        return;
+    }
     for (const auto& range : next.ranges) {
         if (!range.previous_owner.empty() || find_state(range) != nullptr) {
             continue;
         }
-        std::uint32_t covered = 0;
-        range_state merged{.released = true, .granted_until = instant::max()};
-        for (const auto& old : table_.ranges) {
-            const auto* state = find_state(old);
-            const bool disjoint = old.service != range.service ||
-                                  old.keys.last < range.keys.first ||
-                                  range.keys.last < old.keys.first;
-            if (disjoint || old.owner != range.owner || state == nullptr) {
-                continue;
-            }
-            const key_range common{std::max(old.keys.first, range.keys.first),
-                                   std::min(old.keys.last, range.keys.last)};
-            covered += common.size();
-            merged.granted_until = std::min(merged.granted_until, state->granted_until);
-            if (old.fence == range.fence && state->maybe_granted) {
-                merged.maybe_granted = true;
-                merged.connection = state->connection;
-            }
+        if (auto state = carried_state(range)) {
+            range_states_[{range.fence, range.keys.first}] = *state;
         }
-        if (covered == range.keys.size()) {
-            range_states_[{range.fence, range.keys.first}] = merged;
+    }
+}
+
+std::optional<coordinator::range_state>
+coordinator::carried_state(const assigned_range& range) const
+{
+    std::uint32_t covered = 0;
+    range_state merged{.released = true, .granted_until = instant::max()};
+    for (const auto& old : table_.overlapping(range.service, range.keys)) {
+        const auto* state = find_state(old);
+        if (old.owner != range.owner || state == nullptr) {
+            continue;
+        }
+        const key_range common{std::max(old.keys.first, range.keys.first),
+                               std::min(old.keys.last, range.keys.last)};
+        covered += common.size();
+        merged.granted_until = std::min(merged.granted_until, state->granted_until);
+        if (old.fence == range.fence && state->maybe_granted) {
+            merged.maybe_granted = true;
+            merged.connection = state->connection;
         }
     }
+    if (covered != range.keys.size()) {
+        return {};
+    }
+    return merged;
 }
 
 void coordinator::begin_term(instant now)
@@ -226,9 +242,11 @@
 void coordinator::try_takeover(instant now)
 {
     constexpr millis delay_per_rank{120};
+    constexpr std::size_t max_delayed_ranks = 10;
     const auto wait = term_vacant_ ? duration{0} : duration{options_.takeover_timeout};
-    const auto delay = wait + delay_per_rank * std::min<std::size_t>(takeover_rank_, 10);
-    if (stopping_ || standing_aside_ || coordinating_ || pending_append_ ||
+    const auto delay = wait + delay_per_rank * std::min(takeover_rank_, max_delayed_ranks);
+    const bool just_started = started_ && now - *started_ < options_.takeover_start_delay;
+    if (stopping_ || standing_aside_ || coordinating_ || pending_append_ || just_started ||
         now - last_heartbeat_ < delay) {
         takeover_pending_ = false;
         return;
@@ -327,6 +345,7 @@
 
 void coordinator::tick(instant now)
 {
+    started_ = started_.value_or(now);
     load_.decay(now);
     const bool due = now - store_call_sent_ >= options_.read_interval;
     if (coordinating_) {
@@ -343,9 +362,7 @@
         if (pending_append_ && !coordinating_) {
             return;
         }
-        for (const auto& range : table_.ranges) {
-            advance_range(now, range);
-        }
+        advance_ranges(now);
         return;
     }
     const bool silent =
@@ -400,6 +417,22 @@
     return state != nullptr && now < state->granted_until;
 }
 
+// Keys that nobody holds go first: a renewal has time.
+void coordinator::advance_ranges(instant now)
+{
+    const auto limit = next_call_number_ + options_.max_calls_per_tick;
+    for (const bool renewals : {false, true}) {
+        for (const auto& range : table_.ranges) {
+            if (next_call_number_ >= limit) {
+                return;
+            }
+            if (held(now, range) == renewals) {
+                advance_range(now, range);
+            }
+        }
+    }
+}
+
 void coordinator::advance_range(instant now, const assigned_range& range)
 {
     auto& state = state_of(range);
@@ -430,7 +463,7 @@
     }
     state.call_pending = true;
     const call_number number{next_call_number_++};
-    calls_[number] = {.range = {range.fence, range.keys.first}};
+    calls_[number] = {.service = range.service, .range = {range.fence, range.keys.first}};
     effects_.emplace_back(
         release_keys{.number = number,
                      .holder = range.previous_owner,
@@ -449,7 +482,8 @@
     const auto valid_for = degraded ? options_.degraded_grant_validity : options_.grant_validity;
     const call_number number{next_call_number_++};
     state.call_pending = true;
-    calls_[number] = {.range = {range.fence, range.keys.first},
+    calls_[number] = {.service = range.service,
+                      .range = {range.fence, range.keys.first},
                       .holder = range.owner,
                       .granted_until = now + valid_for,
                       .latest_grant_end =
@@ -478,45 +512,64 @@
         auto& end = latest_grant_ends_[pending.holder];
         end = std::max(end, pending.latest_grant_end);
     }
+    const auto* range = table_.find(pending.service, pending.range.second);
     const auto found = range_states_.find(pending.range);
-    if (found == range_states_.end()) {
+    if (range == nullptr || range->fence != pending.range.first || found == range_states_.end()) {
         return;
     }
-    auto& state = found->second;
-    const auto range =
-        std::find_if(table_.ranges.begin(), table_.ranges.end(), [&](const auto& it) {
-            return it.fence == pending.range.first && it.keys.first == pending.range.second;
-        });
-    state.call_pending = false;
-    state.next_call = now + options_.call_retry_delay;
-    if (outcome == call_outcome::accepted && pending.is_grant) {
-        state.granted_until = pending.granted_until;
+    found->second.call_pending = false;
+    found->second.next_call = now + options_.call_retry_delay;
+    if (pending.is_grant) {
+        on_grant(now, *range, pending, outcome, connection);
+    } else {
+        on_release(now, *range, outcome, std::move(handoff));
+    }
+}
+
+void coordinator::on_grant(instant now, const assigned_range& range, const pending_call& call,
+                           call_outcome outcome, connection_number connection)
+{
+    auto& state = state_of(range);
+    if (outcome == call_outcome::accepted) {
+        const bool held_before = now < state.granted_until;
+        state.granted_until = call.granted_until;
         state.maybe_granted = true;
         state.connection = connection;
         state.next_call = now + options_.renew_interval;
-    } else if (!pending.is_grant && confirms_release(*range, outcome)) {
-        state.released = true;
-        state.handoff = std::move(handoff);
-        state.next_call = now;
-        if (hooks_.on_released) {
-            hooks_.on_released(*range, !state.handoff.empty());
+        if (!held_before && hooks_.on_held) {
+            hooks_.on_held(range);
         }
-        advance_range(now, *range);
-    } else if (pending.is_grant && state.maybe_granted && outcome == call_outcome::not_sent) {
+    } else if (state.maybe_granted && outcome == call_outcome::not_sent) {
         // The connection to the process that had the grant is closed. The process now at the
         // address may be a restarted one, whose entry appears in the store later.
         state.needs_new_fence = true;
-    } else if (pending.is_grant && outcome == call_outcome::unknown) {
+    } else if (outcome == call_outcome::unknown) {
         state.maybe_granted = true;
         state.needs_new_fence = true;
-    } else if (outcome == call_outcome::fenced && pending.is_grant) {
+    } else if (outcome == call_outcome::fenced) {
         state.needs_new_fence = true;
         if (hooks_.on_grant_fenced) {
-            hooks_.on_grant_fenced(*range);
+            hooks_.on_grant_fenced(range);
         }
     }
 }
 
+void coordinator::on_release(instant now, const assigned_range& range, call_outcome outcome,
+                             std::string handoff)
+{
+    if (!confirms_release(range, outcome)) {
+        return;
+    }
+    auto& state = state_of(range);
+    state.released = true;
+    state.handoff = std::move(handoff);
+    state.next_call = now;
+    if (hooks_.on_released) {
+        hooks_.on_released(range, !state.handoff.empty());
+    }
+    advance_range(now, range);
+}
+
 // ---- table updates
 
 void coordinator::update_table(instant now)
@@ -524,6 +577,10 @@
     if (pending_append_ || stopping_ || standing_aside_) {
         return;
     }
+    if (now < next_balance_ && !has_unstored_change()) {
+        release_pending_since_ = now;
+        return;
+    }
     auto next = table_;
     const bool owners_cleared = clear_released_owners(next);
     const bool fences_changed = assign_new_fences(next);
@@ -542,6 +599,15 @@
     }
 }
 
+bool coordinator::has_unstored_change() const
+{
+    return std::any_of(table_.ranges.begin(), table_.ranges.end(), [&](const auto& range) {
+        const auto* state = find_state(range);
+        return state != nullptr &&
+               (state->needs_new_fence || (state->released && !range.previous_owner.empty()));
+    });
+}
+
 bool coordinator::assign_new_fences(assignment_table& next)
 {
     bool changed = false;
@@ -611,9 +677,6 @@
     for (const auto& move : moves) {
         apply_move(next, move);
     }
-    std::sort(next.ranges.begin(), next.ranges.end(), [](const auto& a, const auto& b) {
-        return std::tie(a.service, a.keys.first) < std::tie(b.service, b.keys.first);
-    });
     return !moves.empty();
 }
 
@@ -621,40 +684,42 @@
 void coordinator::apply_move(assignment_table& next, const planned_move& move) const
 {
     const auto& server = servers_.at(move.to);
+    const auto affected = next.overlapping(move.service, move.keys);
+    const auto begin = next.ranges.begin() + (affected.data() - next.ranges.data());
+    const auto end = begin + static_cast<std::ptrdiff_t>(affected.size());
     std::vector<assigned_range> out;
-    std::vector<assigned_range> taken;
-    for (const auto& range : next.ranges) {
-        const bool disjoint = range.service != move.service || range.keys.last < move.keys.first ||
-                              move.keys.last < range.keys.first;
-        if (disjoint) {
-            out.push_back(range);
-            continue;
-        }
-        if (range.keys.first < move.keys.first) {
-            out.push_back(range);
+    if (affected.empty()) {
+        out.push_back({.service = move.service, .keys = move.keys});
+        take_over(next, out.back(), server);
+    }
+    for (auto it = begin; it != end; ++it) {
+        if (it->keys.first < move.keys.first) {
+            out.push_back(*it);
             out.back().keys.last = static_cast<key_number>(move.keys.first - 1);
         }
-        if (move.keys.last < range.keys.last) {
-            out.push_back(range);
+        out.push_back(*it);
+        out.back().keys = {std::max(it->keys.first, move.keys.first),
+                           std::min(it->keys.last, move.keys.last)};
+        take_over(next, out.back(), server);
+        if (move.keys.last < it->keys.last) {
+            out.push_back(*it);
             out.back().keys.first = static_cast<key_number>(move.keys.last + 1);
         }
-        taken.push_back(range);
-        taken.back().keys = {std::max(range.keys.first, move.keys.first),
-                             std::min(range.keys.last, move.keys.last)};
-    }
-    if (taken.empty()) {
-        taken.push_back({.service = move.service, .keys = move.keys});
     }
-    for (auto& range : taken) {
-        range.previous_owner = range.owner;
-        range.owner = {.id = server.id, .start = server.start, .address = server.address};
-        range.fence = ++next.last_fence;
-        if (hooks_.on_move_started) {
-            hooks_.on_move_started(range);
-        }
-        out.push_back(range);
+    const auto at = next.ranges.erase(begin, end);
+    next.ranges.insert(at, std::make_move_iterator(out.begin()),
+                       std::make_move_iterator(out.end()));
+}
+
+void coordinator::take_over(assignment_table& next, assigned_range& range,
+                            const backend_server& server) const
+{
+    range.previous_owner = range.owner;
+    range.owner = {.id = server.id, .start = server.start, .address = server.address};
+    range.fence = ++next.last_fence;
+    if (hooks_.on_move_started) {
+        hooks_.on_move_started(range);
     }
-    next.ranges = std::move(out);
 }
 
 } // namespace quincewing
--- a/src/libs/assignment/table_change.cpp
+++ b/src/libs/assignment/table_change.cpp
@@ -13,11 +13,27 @@
     return {range.service, range.keys.first};
 }
 
+bool fences_follow(std::uint64_t fence, const std::vector<assigned_range>& ranges)
+{
+    return !ranges.empty() && std::all_of(ranges.begin(), ranges.end(),
+                                          [&](const auto& it) { return it.fence == ++fence; });
+}
+
+bool differ(const assigned_range& a, const assigned_range& b, bool with_fence)
+{
+    return a.service != b.service || a.keys != b.keys || a.owner != b.owner ||
+           a.previous_owner != b.previous_owner || (with_fence && a.fence != b.fence);
+}
+
 } // namespace
 
-table_change diff_tables(const assignment_table& from, const assignment_table& to)
+table_change diff_tables(const assignment_table& from, const assignment_table& to,
+                         renewal_form form)
 {
     table_change out{.from_term = from.term, .from_revision = from.revision};
+    const bool renewed = form == renewal_form::consecutive && from.last_fence != 0 &&
+                         fences_follow(from.last_fence, to.ranges);
+    out.fences_after = renewed ? from.last_fence : 0;
     out.head = {.term = to.term,
                 .revision = to.revision,
                 .coordinator = to.coordinator,
@@ -28,7 +44,7 @@
     }
     for (const auto& range : to.ranges) {
         const auto found = before.find(id_of(range));
-        if (found == before.end() || *found->second != range) {
+        if (found == before.end() || differ(*found->second, range, !renewed)) {
             out.changed.push_back(range);
         }
         if (found != before.end()) {
@@ -62,6 +78,11 @@
     for (const auto& [id, range] : ranges) {
         out.ranges.push_back(*range);
     }
+    if (auto fence = change.fences_after; fence != 0) {
+        for (auto& range : out.ranges) {
+            range.fence = ++fence;
+        }
+    }
     return out;
 }
 
--- a/src/plugins/entry/condition_exchange.cpp
+++ b/src/plugins/entry/condition_exchange.cpp
@@ -48,7 +48,7 @@
         return;
     }
     next_digest_ = now + digest_period;
-    const auto hosts = peers_.connected_hosts();
+    const auto& hosts = peers_.connected_hosts();
     if (!hosts.empty()) {
         std::uniform_int_distribution<std::size_t> any{0, hosts.size() - 1};
         tell_digest(hosts[any(random_)]);
@@ -152,9 +152,7 @@
         return;
     }
     next_report_ = now + report_period;
-    for (const auto& host : peers_.connected_hosts()) {
-        peers_.send(host, *report);
-    }
+    peers_.send_to_all(*report);
 }
 
 std::string condition_exchange::describe() const
--- a/src/plugins/entry/coordination_task.cpp
+++ b/src/plugins/entry/coordination_task.cpp
@@ -11,7 +11,12 @@
 namespace {
 
 constexpr millis heartbeat_period{250};
-constexpr millis load_report_period{250};
+// The coordinator reads one report of each host in this time, or in this much for each host.
+constexpr millis min_load_report_period{250};
+constexpr millis load_report_period_per_host{2};
+// A host that gave up its term to a stronger one, and has it again, keeps it for this long: the
+// stronger one may not reach the store.
+constexpr seconds yield_interval{60};
 constexpr seconds balance_log_period{1};
 // Without messages from the coordinator for this long, this host reads the store itself.
 constexpr millis heartbeat_timeout{700};
@@ -39,7 +44,7 @@
     }
 }
 
-coordinator_hooks make_log_hooks()
+coordinator_hooks make_hooks(std::function<void(const assigned_range&)> on_held)
 {
     return {.on_term_change =
                 [](const char* what, const assignment_table& table) {
@@ -68,7 +73,8 @@
                     log_event("grant_fenced", {{"keys", format_keys(it.keys)},
                                                {"server", it.owner.id.value},
                                                {"fence", it.fence}});
-                }};
+                },
+            .on_held = std::move(on_held)};
 }
 
 } // namespace
@@ -81,15 +87,16 @@
       configuration_(configuration), hooks_(std::move(hooks)),
       core_({.self = context_.self,
              .degraded_grant_validity = context_.settings.bounds.longest_hold,
-             .max_grant_validity = context_.settings.bounds.longest_hold},
-            make_log_hooks()),
+             .max_grant_validity = context_.settings.bounds.longest_hold,
+             .takeover_start_delay = takeover_start_delay(context_.settings.cores)},
+            make_hooks([this](const assigned_range&) { newly_held_ = true; })),
       random_(static_cast<std::uint32_t>(stable_hash(context_.self.value)))
 {
 }
 
 void coordination_task::tick(instant now)
 {
-    core_.set_takeover_rank(takeover_rank());
+    update_takeover_order();
     core_.tick(now);
     execute_effects();
     publish_table(now);
@@ -103,7 +110,9 @@
     }
     log_balance(now);
     if (now >= next_load_report_) {
-        next_load_report_ = now + load_report_period;
+        const auto per_host =
+            load_report_period_per_host * static_cast<int>(peers_.connected_hosts().size());
+        next_load_report_ = now + std::max(min_load_report_period, per_host);
         send_load_report();
     }
     const bool fresh = core_.coordinating() || has_fresh_coordinator(now);
@@ -140,8 +149,9 @@
     if (!gave_up) {
         return;
     }
-    for (const auto& host : peers_.connected_hosts()) {
-        peers_.send(host, term_given_up{.term = core_.table().term});
+    peers_.send_to_all(term_given_up{.term = core_.table().term});
+    if (stronger_linked_) {
+        may_yield_after_ = monotonic_now() + yield_interval;
     }
 }
 
@@ -157,13 +167,29 @@
            duration{coordinator_versions_.servers_age} + silence < max_servers_age;
 }
 
-std::size_t coordination_task::takeover_rank() const
+takeover_candidate coordination_task::own_candidacy() const
+{
+    return {.host = context_.self, .cores = context_.settings.cores};
+}
+
+void coordination_task::update_takeover_order()
+{
+    if (order_version_ == peers_.connected_version()) {
+        return;
+    }
+    order_version_ = peers_.connected_version();
+    std::vector<takeover_candidate> others;
+    for (const auto& host : peers_.connected_hosts()) {
+        const auto* identity = peers_.identity_of(host);
+        others.push_back({.host = host, .cores = identity == nullptr ? 0 : identity->cores});
+    }
+    core_.set_takeover_rank(takeover_rank(own_candidacy(), others));
+    stronger_linked_ = stronger_exists(own_candidacy(), others);
+}
+
+bool coordination_task::should_yield(instant now) const
 {
-    const auto own_hash = stable_hash(context_.self.value);
-    const auto hosts = peers_.connected_hosts();
-    return static_cast<std::size_t>(std::count_if(hosts.begin(), hosts.end(), [&](const auto& it) {
-        return stable_hash(it.value) < own_hash;
-    }));
+    return core_.coordinating() && stronger_linked_ && now >= may_yield_after_;
 }
 
 void coordination_task::on_servers_or_configuration(instant now)
@@ -249,8 +275,10 @@
         }
         tell_notice(it.holder, result);
         core_.on_call(now, it.number, result.outcome, "", result.connection);
-        refresh_held(now);
-        broadcast_if_changed();
+        if (std::exchange(newly_held_, false)) {
+            refresh_held(now);
+            broadcast_if_changed();
+        }
     });
 }
 
@@ -293,6 +321,7 @@
     }
     published_term_ = table.term;
     published_revision_ = table.revision;
+    note_broadcast_base();
     // All grants count as in force until the coordinator says otherwise.
     held_.assign(table.ranges.size(), 1);
     if (core_.coordinating()) {
@@ -302,6 +331,25 @@
     hooks_.on_assignment_change();
 }
 
+// The first changes that a new coordinator tells are those against the last table of the previous
+// one, which the others have too.
+void coordination_task::note_broadcast_base()
+{
+    const bool begins = core_.coordinating() && !broadcasting_;
+    broadcasting_ = core_.coordinating();
+    if (!broadcasting_) {
+        broadcast_table_ = core_.table();
+    }
+    if (begins) {
+        const auto& directory = follower_.directory();
+        last_broadcast_ = {.term = broadcast_table_.term,
+                           .table_revision = broadcast_table_.revision,
+                           .servers_read = directory.read_offset().value,
+                           .servers_changed = directory.changed_offset().value};
+        broadcast_servers_ = directory.servers();
+    }
+}
+
 void coordination_task::refresh_held(instant now)
 {
     if (!core_.coordinating()) {
--- a/src/plugins/entry/coordination_task.hpp
+++ b/src/plugins/entry/coordination_task.hpp
@@ -4,6 +4,7 @@
 #include "store_follower.hpp"
 
 #include "quincewing/assignment/coordinator.hpp"
+#include "quincewing/assignment/takeover_order.hpp"
 #include "quincewing/entry/host_context.hpp"
 #include "quincewing/peers/peers_task.hpp"
 
@@ -36,13 +37,15 @@
     void stop(instant now);
     /// While it is set, another host is better placed to coordinate.
     void set_standing_aside(bool on);
+    /// A much stronger host is there to coordinate.
+    [[nodiscard]] bool should_yield(instant now) const;
     /// This host does not coordinate any more and waits for no append.
     [[nodiscard]] bool stopped() const { return core_.stopped(); }
 
     void on_servers_or_configuration(instant now);
     /// The servers' own limits changed.
     void on_limits();
-    void on_host_connected(const host_id& host);
+    void on_host_connected(const peer_identity& host);
 
     void on_message(const host_id& from, const coordinator_beat& it);
     void on_message(const host_id& from, const news_request& it);
@@ -71,10 +74,11 @@
     void execute(const release_keys& it);
     void tell_notice(const key_holder& to, const key_call_result& result);
     void publish_table(instant now);
+    void note_broadcast_base();
     void refresh_held(instant now);
     [[nodiscard]] coordinator_beat current_versions(instant now) const;
     void send_heartbeats(instant now);
-    void send_full_state(const host_id& to);
+    void send_state(const host_id& to, const news_request& known);
     void broadcast_changes(const coordinator_beat& current);
     void broadcast_if_changed();
     void apply_table_update(instant now, const coordinator_news& it);
@@ -84,8 +88,8 @@
     void note_told_configuration(instant now, const coordinator_beat& it);
     void send_load_report();
     void log_balance(instant now);
-    /// Position of this host in the order in which hosts try to become coordinator.
-    [[nodiscard]] std::size_t takeover_rank() const;
+    [[nodiscard]] takeover_candidate own_candidacy() const;
+    void update_takeover_order();
 
     host_context context_;
     peers_task& peers_;
@@ -93,12 +97,20 @@
     configuration_follower& configuration_;
     coordination_hooks hooks_;
     coordinator core_;
+    /// Of the connected hosts for which the order of takeovers was determined last.
+    std::uint64_t order_version_{};
+    bool stronger_linked_{};
+    instant may_yield_after_{};
+    /// A server was granted keys that it did not hold.
+    bool newly_held_{};
     /// For each range of the table, 1 while the owner's grant is in force.
     std::vector<std::uint8_t> held_;
     std::uint64_t held_revision_{};
     std::uint64_t published_revision_{};
     std::uint64_t published_term_{};
     std::uint64_t published_held_{};
+    /// This host has broadcast since it took the term.
+    bool broadcasting_{};
     /// State of the last broadcast, the base of the next one's changes.
     coordinator_beat last_broadcast_;
     assignment_table broadcast_table_;
--- a/src/plugins/entry/coordination_task_news.cpp
+++ b/src/plugins/entry/coordination_task_news.cpp
@@ -41,9 +41,7 @@
 void coordination_task::send_heartbeats(instant now)
 {
     const auto beat = told_beat(current_versions(now), last_broadcast_);
-    for (const auto& host : peers_.connected_hosts()) {
-        peers_.send(host, beat);
-    }
+    peers_.send_to_all(beat);
 }
 
 // Broadcasts a change at once unless the previous broadcast was too recent. A host that missed one
@@ -80,6 +78,7 @@
     if (table_changed) {
         it.table_changes = diff_tables(broadcast_table_, core_.table());
     }
+    const bool renewed = it.table_changes && it.table_changes->fences_after != 0;
     if (table_changed || current.held_revision != last_broadcast_.held_revision) {
         it.held = held_;
     }
@@ -93,28 +92,43 @@
             it.configuration_changes = std::move(changes);
         }
     }
-    for (const auto& host : peers_.connected_hosts()) {
-        peers_.send(host, it);
+    peers_.send_to_all(it, renewed ? renewal_spoken_version : first_spoken_version);
+    if (renewed) {
+        it.table_changes = diff_tables(broadcast_table_, core_.table(), renewal_form::each_range);
+        peers_.send_to_older(it, renewal_spoken_version);
     }
 }
 
-void coordination_task::send_full_state(const host_id& to)
+// A host that names no version of what it has, as those of earlier builds, gets everything.
+void coordination_task::send_state(const host_id& to, const news_request& known)
 {
     coordinator_news it{.versions = told_beat(current_versions(monotonic_now()), last_broadcast_),
-                        .table = broadcast_table_,
-                        .held = broadcast_held_,
-                        .servers = std::vector<backend_server>{}};
-    for (const auto& [id, server] : broadcast_servers_) {
-        it.servers->push_back(server);
+                        .held = broadcast_held_};
+    const bool same_table = known.term == last_broadcast_.term &&
+                            known.table_revision == last_broadcast_.table_revision;
+    if (!same_table) {
+        it.table = broadcast_table_;
+    }
+    if (known.servers_changed != last_broadcast_.servers_changed || known.servers_changed == 0) {
+        it.servers.emplace();
+        for (const auto& [id, server] : broadcast_servers_) {
+            it.servers->push_back(server);
+        }
     }
     peers_.send(to, it);
 }
 
-void coordination_task::on_host_connected(const host_id& host)
+// A host that has just started reads the store too, and asks for what it lacks after that.
+void coordination_task::on_host_connected(const peer_identity& host)
 {
-    if (core_.coordinating()) {
-        broadcast_if_changed();
-        send_full_state(host);
+    if (!core_.coordinating()) {
+        return;
+    }
+    broadcast_if_changed();
+    if (host.speaks < renewal_spoken_version) {
+        send_state(host.host, {});
+    } else {
+        peers_.send(host.host, told_beat(current_versions(monotonic_now()), last_broadcast_));
     }
 }
 
@@ -143,15 +157,18 @@
         core_.on_coordinator_heartbeat(now, table, duration{it.table_age});
     } else if (now >= next_state_request_) {
         next_state_request_ = now + state_request_interval;
-        peers_.send(from, news_request{.term = it.term});
+        peers_.send(from,
+                    news_request{.term = table.term,
+                                 .table_revision = table.revision,
+                                 .servers_changed = follower_.directory().changed_offset().value});
     }
 }
 
-void coordination_task::on_message(const host_id& from, const news_request&)
+void coordination_task::on_message(const host_id& from, const news_request& it)
 {
     if (core_.coordinating()) {
         broadcast_if_changed();
-        send_full_state(from);
+        send_state(from, it);
     }
 }
 
@@ -206,7 +223,7 @@
 // it: see max_told_routes.
 void coordination_task::ask_for_configuration()
 {
-    const auto hosts = peers_.connected_hosts();
+    const auto& hosts = peers_.connected_hosts();
     if (hosts.empty()) {
         return;
     }
--- a/src/plugins/entry/crash_exchange.cpp
+++ b/src/plugins/entry/crash_exchange.cpp
@@ -56,7 +56,7 @@
         return;
     }
     next_digest_ = now + digest_period;
-    const auto hosts = peers_.connected_hosts();
+    const auto& hosts = peers_.connected_hosts();
     if (!hosts.empty()) {
         std::uniform_int_distribution<std::size_t> any{0, hosts.size() - 1};
         tell_digest(hosts[any(random_)], now);
@@ -69,9 +69,7 @@
     if (!report) {
         return;
     }
-    for (const auto& host : peers_.connected_hosts()) {
-        peers_.send(host, *report);
-    }
+    peers_.send_to_all(*report);
 }
 
 void crash_exchange::tell_digest(const host_id& to, instant now)
--- a/src/plugins/entry/dispatch_task.cpp
+++ b/src/plugins/entry/dispatch_task.cpp
@@ -21,20 +21,29 @@
 {
 }
 
-host_id dispatch_task::dispatcher_host_of(const group_id& group) const
+host_id dispatch_task::dispatcher_host_of(const group_id& group)
+{
+    if (hosts_version_ != peers_.connected_version()) {
+        hosts_version_ = peers_.connected_version();
+        dispatcher_hosts_.clear();
+    }
+    const auto found = dispatcher_hosts_.find(group);
+    if (found != dispatcher_hosts_.end()) {
+        return found->second;
+    }
+    return dispatcher_hosts_[group] = choose_dispatcher_host(group);
+}
+
+host_id dispatch_task::choose_dispatcher_host(const group_id& group) const
 {
     const auto name = group.service.value + "/" + group.keyed_server.value + "/";
-    const auto now = monotonic_now();
     auto best = context_.self;
     auto best_hash = stable_hash(name + best.value);
     if (leaving_.contains(best)) {
         best_hash = 0;
     }
     for (const auto& host : peers_.connected_hosts()) {
-        const auto unresponsive = unresponsive_until_.find(host);
-        const bool skipped =
-            leaving_.contains(host) ||
-            (unresponsive != unresponsive_until_.end() && now < unresponsive->second);
+        const bool skipped = leaving_.contains(host) || unresponsive_until_.contains(host);
         const auto hash = stable_hash(name + host.value);
         if (!skipped && hash > best_hash) {
             best = host;
@@ -311,6 +320,7 @@
             it.tick(now);
             deliver_decisions(it);
         }
+        dispatcher_hosts_.clear();
         std::erase_if(
             *all, [&](const auto& it) { return it.second.idle() && servers_of(it.first).empty(); });
     }
@@ -332,6 +342,7 @@
 void dispatch_task::on_host_leaving(const host_id& host)
 {
     leaving_.insert(host);
+    dispatcher_hosts_.clear();
     if (host != context_.self) {
         ask_elsewhere(host);
     }
@@ -364,12 +375,15 @@
         }
     }
     check_dispatchers(now);
-    std::erase_if(unresponsive_until_, [&](const auto& it) { return now > it.second; });
+    if (std::erase_if(unresponsive_until_, [&](const auto& it) { return now > it.second; }) > 0) {
+        dispatcher_hosts_.clear();
+    }
 }
 
 void dispatch_task::skip_dispatchers_of(const host_id& host, instant now)
 {
     if (unresponsive_until_.emplace(host, now + unresponsive_period).second) {
+        dispatcher_hosts_.clear();
         log_event("dispatcher_silent", {{"host", host.value}});
     }
 }
--- a/src/plugins/entry/dispatch_task.hpp
+++ b/src/plugins/entry/dispatch_task.hpp
@@ -81,7 +81,8 @@
         bool uses_fallback{};
     };
 
-    [[nodiscard]] host_id dispatcher_host_of(const group_id& group) const;
+    [[nodiscard]] host_id dispatcher_host_of(const group_id& group);
+    [[nodiscard]] host_id choose_dispatcher_host(const group_id& group) const;
     static group_id group_of(const dispatch_request& it)
     {
         return {it.service, it.required_server};
@@ -90,8 +91,8 @@
     /// Hosts that must lose a server before a dispatcher takes it to be lost.
     [[nodiscard]] std::size_t losing_hosts(bool fallback) const;
     /// The part of a server's own limit that a dispatcher of this host may use.
-    [[nodiscard]] double limit_share_of(const group_id& id, bool fallback) const;
-    void apply_limits(instant now, const group_id& id, bool fallback, dispatcher& to) const;
+    [[nodiscard]] double limit_share_of(const group_id& id, bool fallback);
+    void apply_limits(instant now, const group_id& id, bool fallback, dispatcher& to);
     [[nodiscard]] static dispatch_request with_time_left(const pending_request& it, instant now);
     /// Whether it waits for a slot from another host's dispatcher.
     [[nodiscard]] bool waits_elsewhere(const pending_request& it) const;
@@ -123,6 +124,9 @@
     std::map<group_id, dispatcher> fallback_dispatchers_;
     std::map<std::uint64_t, pending_request> requests_;
     std::set<host_id> leaving_;
+    /// What choose_dispatcher_host() said of the hosts connected in this version.
+    std::map<group_id, host_id> dispatcher_hosts_;
+    std::uint64_t hosts_version_{};
     /// Hosts whose dispatcher did not answer, and until when they are not asked again.
     std::map<host_id, instant> unresponsive_until_;
     /// Hosts whose answer to a place_check is due, and when it was sent.
--- a/src/plugins/entry/dispatch_task_limits.cpp
+++ b/src/plugins/entry/dispatch_task_limits.cpp
@@ -5,7 +5,7 @@
 /// dispatch_task: the servers' own limits.
 namespace quincewing {
 
-double dispatch_task::limit_share_of(const group_id& id, bool fallback) const
+double dispatch_task::limit_share_of(const group_id& id, bool fallback)
 {
     return limit_share({.known_hosts = peers_.known_hosts() + 1,
                         .connected_hosts = peers_.connected_hosts().size() + 1,
@@ -13,8 +13,7 @@
                         .fallback = fallback});
 }
 
-void dispatch_task::apply_limits(instant now, const group_id& id, bool fallback,
-                                 dispatcher& to) const
+void dispatch_task::apply_limits(instant now, const group_id& id, bool fallback, dispatcher& to)
 {
     std::map<server_id, request_rate> limits;
     for (const auto& server : servers_of(id)) {
--- a/src/plugins/entry/entry_host.cpp
+++ b/src/plugins/entry/entry_host.cpp
@@ -96,16 +96,19 @@
              .address = settings.peers,
              .listen = settings.peers,
              .data_centre = data_centre_id{settings.data_centre},
+             .cores = settings.cores,
              .forget_after = forget_host_after},
             {.on_message = [this](const envelope& it) { on_message(it); },
              .on_connected =
-                 [this](const host_id& host, const data_centre_id& data_centre) {
-                     log_event("dependency",
-                               {{"name", "host"}, {"host", host.value}, {"state", "regained"}});
-                     coordination.on_host_connected(host);
-                     crashes.on_host_connected(host);
-                     conditions.on_host_connected(host);
-                     reach.on_host_connected(host, data_centre);
+                 [this](const peer_identity& it) {
+                     log_event("dependency", {{"name", "host"},
+                                              {"host", it.host.value},
+                                              {"speaks", std::uint64_t{it.speaks.value}},
+                                              {"state", "regained"}});
+                     coordination.on_host_connected(it);
+                     crashes.on_host_connected(it.host);
+                     conditions.on_host_connected(it.host);
+                     reach.on_host_connected(it.host, it.data_centre);
                  },
              .on_disconnected = [this](const host_id& host) { on_host_lost(host); },
              .on_visitor = [this](const host_id& host) { peers.connect_to({address_of(host)}); },
@@ -258,7 +261,8 @@
     configuration.tick(now);
     configuration_confirmed = configuration_confirmed || configuration_in_force();
     reach.tick(now, coordination.core().coordinating());
-    coordination.set_standing_aside(reach.should_stand_aside(now));
+    coordination.set_standing_aside(reach.should_stand_aside(now) ||
+                                    coordination.should_yield(now));
     coordination.tick(now);
     relays.tick(now);
     dispatch.tick(now);
@@ -340,9 +344,7 @@
     it.listener.set_stopping();
     it.coordination.stop(now);
     it.dispatch.on_host_leaving(it.self);
-    for (const auto& host : it.peers.connected_hosts()) {
-        it.peers.send(host, host_leaving{});
-    }
+    it.peers.send_to_all(host_leaving{});
     it.announcer.stop([&it] { it.record_removed = true; });
 }
 
--- a/src/plugins/host/host_task.cpp
+++ b/src/plugins/host/host_task.cpp
@@ -30,10 +30,10 @@
                       work_timer_.soon();
                   },
               .on_connected =
-                  [this](const host_id& host, const data_centre_id& data_centre) {
-                      const heartbeat sign{.data_centre = data_centre};
-                      core_.on_envelope(monotonic_now(), {.from = host, .to = self_, .body = sign},
-                                        effects_);
+                  [this](const peer_identity& it) {
+                      const heartbeat sign{.data_centre = it.data_centre};
+                      core_.on_envelope(monotonic_now(),
+                                        {.from = it.host, .to = self_, .body = sign}, effects_);
                       work_timer_.soon();
                   },
               .on_process_gone =
--- a/src/plugins/peers/peer_link.cpp
+++ b/src/plugins/peers/peer_link.cpp
@@ -1,6 +1,7 @@
 #include "peer_link.hpp"
 
 #include "forward_headers.hpp"
+#include "identity_headers.hpp"
 
 #include "quincewing/net/bound_socket.hpp"
 #include "quincewing/net/endpoint.hpp"
@@ -72,27 +73,25 @@
 
 void peer_link::open_messages()
 {
-    auto* stream = connection_->open({{":method", "POST"},
-                                      {":scheme", "http"},
-                                      {":authority", "quincewing"},
-                                      {":path", "/messages"},
-                                      {"qw-host", owner_.options_.self.value},
-                                      {"qw-data-centre", owner_.options_.data_centre.value}},
-                                     true);
+    header_list headers{{":method", "POST"},
+                        {":scheme", "http"},
+                        {":authority", "quincewing"},
+                        {":path", "/messages"}};
+    append_identity(headers, owner_.own_identity());
+    auto* stream = connection_->open(headers, true);
     if (stream == nullptr) {
         return;
     }
     messages_ = stream->id;
     stream->on_headers = [this](h2_stream& it) {
-        const auto* host = find_header(it.headers, "qw-host");
-        const auto* data_centre = find_header(it.headers, "qw-data-centre");
-        if (host == nullptr || data_centre == nullptr) {
+        auto identity = read_identity(it.headers);
+        if (!identity) {
             return;
         }
-        host_ = host_id{*host};
+        identity_ = std::move(*identity);
         stands_ = true;
         backoff_ = owner_.options_.reconnect_least;
-        owner_.on_identity(*this, host_, data_centre_id{*data_centre});
+        owner_.on_identity(*this);
     };
 }
 
@@ -100,13 +99,16 @@
 {
     const bool refused = !connected_ && system_error == ECONNREFUSED;
     const bool stood = stands_;
-    const auto lost = host_;
+    const auto lost = identity_.host;
     stands_ = false;
-    host_ = {};
+    identity_ = {};
     messages_ = -1;
     if (refused) {
         owner_.on_refused(*this);
     }
+    if (stood) {
+        owner_.on_link_change();
+    }
     if (stood && owner_.hooks_.on_disconnected) {
         owner_.hooks_.on_disconnected(lost);
     }
--- a/src/plugins/peers/peer_link.hpp
+++ b/src/plugins/peers/peer_link.hpp
@@ -18,8 +18,8 @@
 
     void send(const std::string& data);
     void forward(const exchange_ptr& it, std::function<void(forward_failure)> failed);
-    /// Who answers at the address; empty until it has told.
-    [[nodiscard]] const host_id& host() const { return host_; }
+    /// Who answers at the address; without a host until it has told.
+    [[nodiscard]] const peer_identity& identity() const { return identity_; }
     [[nodiscard]] bool stands() const { return stands_; }
     [[nodiscard]] const std::string& address() const { return address_; }
 
@@ -38,7 +38,7 @@
     std::string address_;
     std::unique_ptr<h2_connection> connection_;
     std::int32_t messages_{-1};
-    host_id host_;
+    peer_identity identity_;
     bool stands_{};
     bool connected_{};
     duration backoff_;
--- a/src/plugins/peers/peer_session.cpp
+++ b/src/plugins/peers/peer_session.cpp
@@ -1,6 +1,7 @@
 #include "peer_session.hpp"
 
 #include "forward_headers.hpp"
+#include "identity_headers.hpp"
 
 #include "quincewing/logging/event_log.hpp"
 
@@ -38,9 +39,9 @@
 
 void peer_session::take_messages(h2_stream& it)
 {
-    connection_->respond(it, {{":status", "200"},
-                              {"qw-host", owner_.options_.self.value},
-                              {"qw-data-centre", owner_.options_.data_centre.value}});
+    header_list headers{{":status", "200"}};
+    append_identity(headers, owner_.own_identity());
+    connection_->respond(it, headers);
     const auto* visitor = find_header(it.headers, "qw-host");
     if (visitor != nullptr) {
         visitor_ = host_id{*visitor};
--- a/src/plugins/peers/peers_task.cpp
+++ b/src/plugins/peers/peers_task.cpp
@@ -50,6 +50,14 @@
     return listener_ != nullptr;
 }
 
+peer_identity peers_task::own_identity() const
+{
+    return {.host = options_.self,
+            .data_centre = options_.data_centre,
+            .speaks = current_spoken_version,
+            .cores = options_.cores};
+}
+
 void peers_task::on_accept(int fd)
 {
     sessions_.push_back(std::make_unique<peer_session>(loop_, *this, fd));
@@ -84,6 +92,7 @@
     if (found != links_.end()) {
         dropped_links_.push_back(std::move(found->second));
         links_.erase(found);
+        on_link_change();
         drop_timer_.soon();
     }
 }
@@ -107,21 +116,34 @@
     hooks_.on_process_gone(gone);
 }
 
-void peers_task::on_identity(peer_link& it, const host_id& host, const data_centre_id& data_centre)
+void peers_task::on_identity(peer_link& it)
 {
+    const auto identity = it.identity();
     const auto before = it.last_known;
-    it.last_known = host;
-    if (!before.value.empty() && before != host) {
+    it.last_known = identity.host;
+    on_link_change();
+    if (!before.value.empty() && before != identity.host) {
         hooks_.on_process_gone(before);
     }
-    hooks_.on_connected(host, data_centre);
+    hooks_.on_connected(identity);
+}
+
+void peers_task::on_link_change()
+{
+    connected_.clear();
+    for (const auto& [address, link] : links_) {
+        if (link->stands()) {
+            connected_.push_back(link->identity().host);
+        }
+    }
+    ++connected_version_;
 }
 
 peer_link* peers_task::link_to(const host_id& host) const
 {
     const auto found = links_.find(address_of(host));
     const bool stands = found != links_.end() && found->second->stands();
-    return stands && found->second->host() == host ? found->second.get() : nullptr;
+    return stands && found->second->identity().host == host ? found->second.get() : nullptr;
 }
 
 bool peers_task::answers_sent() const
@@ -135,15 +157,10 @@
     return link_to(host) != nullptr;
 }
 
-std::vector<host_id> peers_task::connected_hosts() const
+const peer_identity* peers_task::identity_of(const host_id& host) const
 {
-    std::vector<host_id> out;
-    for (const auto& [address, link] : links_) {
-        if (link->stands()) {
-            out.push_back(link->host());
-        }
-    }
-    return out;
+    const auto* link = link_to(host);
+    return link == nullptr ? nullptr : &link->identity();
 }
 
 void peers_task::send(const host_id& to, const message& body)
@@ -159,6 +176,33 @@
     }
 }
 
+void peers_task::send_to_all(const message& body, spoken_version least)
+{
+    send_where(body, [least](const peer_identity& to) { return to.speaks >= least; });
+}
+
+void peers_task::send_to_older(const message& body, spoken_version than)
+{
+    send_where(body, [than](const peer_identity& to) { return to.speaks < than; });
+}
+
+// The body is encoded once, however many hosts there are.
+void peers_task::send_where(const message& body,
+                            const std::function<bool(const peer_identity&)>& wanted)
+{
+    std::string encoded;
+    for (const auto& [address, link] : links_) {
+        if (!link->stands() || !wanted(link->identity())) {
+            continue;
+        }
+        if (encoded.empty()) {
+            encoded = encode_body(body);
+        }
+        ++counts_.messages_sent;
+        link->send(encode_envelope(options_.self, link->identity().host, encoded));
+    }
+}
+
 void peers_task::forward(const host_id& to, const exchange_ptr& it,
                          std::function<void(forward_failure)> failed)
 {
--- a/tests/auto/assignment/coordinator_test.cpp
+++ b/tests/auto/assignment/coordinator_test.cpp
@@ -505,3 +505,33 @@
     it.run(millis{300});
     CHECK(it.core.coordinating());
 }
+
+TEST_CASE("coordinator: at 1,000 servers a tick starts few calls, and all keys are soon held")
+{
+    coordinator_fixture f;
+    for (int i = 0; i < 1000; ++i) {
+        f.add_server(("s" + std::to_string(i)).c_str());
+    }
+    f.run(millis{1500});
+    REQUIRE(f.core.table().ranges.size() == 1000);
+    std::size_t most = 0;
+    for (int i = 0; i < 100; ++i) {
+        f.grants.clear();
+        f.run(millis{50});
+        most = std::max(most, f.grants.size());
+    }
+    CHECK(most <= coordinator_options{}.max_calls_per_tick);
+    CHECK(f.all_held());
+}
+
+TEST_CASE("coordinator: a host that has just started leaves the term to stronger ones")
+{
+    coordinator_options options;
+    options.takeover_start_delay = millis{400};
+    coordinator_fixture f{"h1", options};
+    f.add_server("s1");
+    f.run(millis{350});
+    CHECK_FALSE(f.core.coordinating());
+    f.run(millis{1000});
+    CHECK(f.core.coordinating());
+}
--- a/tests/auto/assignment/table_change_test.cpp
+++ b/tests/auto/assignment/table_change_test.cpp
@@ -1,5 +1,7 @@
 #include "quincewing/assignment/table_change.hpp"
 
+#include "quincewing/codec/codec.hpp"
+
 #include "test_options.hpp"
 
 #include <boost/random/mersenne_twister.hpp>
@@ -70,3 +72,84 @@
     other.term = 2;
     CHECK_FALSE(apply_table_change(other, change));
 }
+
+namespace {
+
+/// A table of so many servers, whose ranges have the fences 1, 2, ...
+assignment_table make_table(std::size_t servers)
+{
+    assignment_table out{.term = 1, .revision = 1, .coordinator = host_id{"h1"}};
+    const auto size = key_count / servers;
+    for (std::size_t i = 0; i < servers; ++i) {
+        const auto name = "i-" + std::to_string(10000 + i);
+        const auto last = i + 1 == servers ? key_count - 1 : (i + 1) * size - 1;
+        out.ranges.push_back(
+            {.service = service_id{"keyed"},
+             .keys = {static_cast<key_number>(i * size), static_cast<key_number>(last)},
+             .owner = {.id = server_id{name}, .start = server_start{1}, .address = "10.0.0.1:80"},
+             .fence = ++out.last_fence});
+    }
+    return out;
+}
+
+/// What another coordinator makes of it when it takes the term.
+assignment_table with_new_term(assignment_table table)
+{
+    ++table.term;
+    ++table.revision;
+    table.coordinator = host_id{"h2"};
+    for (auto& it : table.ranges) {
+        it.fence = ++table.last_fence;
+    }
+    return table;
+}
+
+} // namespace
+
+TEST_CASE("table change: a new term at 1,000 servers is told in a few bytes")
+{
+    auto before = make_table(1000);
+    before.ranges[5].previous_owner = before.ranges[6].owner;
+    auto after = with_new_term(before);
+    // The new coordinator knows that the previous owner has released the keys.
+    after.ranges[5].previous_owner = {};
+    const auto change = diff_tables(before, after);
+    CHECK(change.changed.size() == 1);
+    CHECK(codec::encode(change).size() < 200);
+    CHECK(apply_table_change(before, change) == after);
+}
+
+TEST_CASE("table change: hosts that speak 1 are told each new fence")
+{
+    const auto before = make_table(100);
+    const auto after = with_new_term(before);
+    const auto change = diff_tables(before, after, renewal_form::each_range);
+    CHECK(change.fences_after == 0);
+    CHECK(change.changed.size() == 100);
+    CHECK(apply_table_change(before, change) == after);
+}
+
+TEST_CASE("table: the ranges that overlap keys, and the place of keys that no range has")
+{
+    assignment_table table;
+    for (const key_number first : {10, 20, 40}) {
+        table.ranges.push_back(
+            {.service = service_id{"b"}, .keys = {first, static_cast<key_number>(first + 9)}});
+    }
+    const auto count = [&](const char* service, key_range keys) {
+        return table.overlapping(service_id{service}, keys).size();
+    };
+    const auto place = [&](const char* service, key_range keys) {
+        return table.overlapping(service_id{service}, keys).data() - table.ranges.data();
+    };
+    CHECK(count("b", {0, 65535}) == 3);
+    CHECK(count("b", {19, 20}) == 2);
+    CHECK(count("b", {29, 40}) == 2);
+    CHECK(count("b", {30, 39}) == 0);
+    CHECK(place("b", {30, 39}) == 2);
+    CHECK(place("b", {0, 9}) == 0);
+    CHECK(place("b", {50, 60}) == 3);
+    CHECK(place("a", {0, 65535}) == 0);
+    CHECK(place("c", {0, 65535}) == 3);
+    CHECK(count("a", {0, 65535}) == 0);
+}
--- a/tests/auto/entry/slot_messages_test.cpp
+++ b/tests/auto/entry/slot_messages_test.cpp
@@ -35,7 +35,7 @@
                                                         view, metrics_,  id},
           peers(loop, {.self = id, .address = address, .listen = address},
                 {.on_message = [this](const envelope& it) { on_message(it); },
-                 .on_connected = [](const host_id&, const data_centre_id&) {},
+                 .on_connected = [](const peer_identity&) {},
                  .on_disconnected = [this](const host_id& host) { dispatch.on_host_lost(host); },
                  .on_process_gone = [](const host_id&) {}}),
           dispatch(context_, peers), tick_timer_(loop, [this] { dispatch.tick(monotonic_now()); })
--- a/tests/auto/wire/wire_compatibility_test.cpp
+++ b/tests/auto/wire/wire_compatibility_test.cpp
@@ -160,7 +160,8 @@
 {
     CHECK_FALSE(find_change_in_place("(u64,str)", "(u64,str,[u8])"));
     CHECK_FALSE(find_change_in_place("(u64,<(u8)|(str)>)", "(u64,<(u8)|(str,str)|(u64)>)"));
-    CHECK(find_change_in_place("(u64,str)", "(u64)") == "member (whole) was (u64,str) and is (u64)");
+    CHECK(find_change_in_place("(u64,str)", "(u64)") ==
+          "member (whole) was (u64,str) and is (u64)");
     CHECK(find_change_in_place("(u64,(str,[u8]))", "(u64,(str,[u64]))") ==
           "member 1.1.0 was u8 and is u64");
     CHECK(find_change_in_place("(u64,?(str))", "(u64,?[str])") ==
--- a/tests/auto/wire/wire_shape.cpp
+++ b/tests/auto/wire/wire_shape.cpp
@@ -106,7 +106,8 @@
 
 bool has_kinds_of(const msgpack::object& landed, const msgpack::object& later)
 {
-    return is_extended(landed, later, [](const auto& a, const auto& b) { return a.type == b.type; });
+    return is_extended(landed, later,
+                       [](const auto& a, const auto& b) { return a.type == b.type; });
 }
 
 std::string to_hex(std::string_view bytes)
--- a/tests/auto/wire/wire_shape.hpp
+++ b/tests/auto/wire/wire_shape.hpp
@@ -121,8 +121,8 @@
 /// "3.1", and both shapes. Later members at the end of a struct and later alternatives are allowed.
 std::optional<std::string> find_change_in_place(std::string_view landed, std::string_view later);
 
-/// Whether each element of `landed` stands at the same place of `later`, which may have more members
-/// at the end of its structs.
+/// Whether each element of `landed` stands at the same place of `later`, which may have more
+/// members at the end of its structs.
 bool is_extended_by(const msgpack::object& landed, const msgpack::object& later);
 
 /// The same for the kinds of the elements, whatever their values.
