Calls to the store are counted by kind, as a metric and a line a second

Change: store_call_counts wraps the calls; quincewing_store_calls_total{call=...} and the line store_calls.

--- a/include/quincewing/assignment/takeover_order.hpp
+++ b/include/quincewing/assignment/takeover_order.hpp
@@ -22,8 +22,7 @@
                           const std::vector<takeover_candidate>& others);
 
 /// Whether one of the others is so much stronger that it should coordinate in place of self.
-bool stronger_exists(const takeover_candidate& self,
-                     const std::vector<takeover_candidate>& others);
+bool stronger_exists(const takeover_candidate& self, const std::vector<takeover_candidate>& others);
 
 /// How long a host that has just started leaves the term to stronger ones that start beside it.
 duration takeover_start_delay(double cores);
--- a/src/libs/assignment/takeover_order.cpp
+++ b/src/libs/assignment/takeover_order.cpp
@@ -27,9 +27,8 @@
 std::size_t takeover_rank(const takeover_candidate& self,
                           const std::vector<takeover_candidate>& others)
 {
-    return static_cast<std::size_t>(
-        std::count_if(others.begin(), others.end(),
-                      [&](const auto& it) { return comes_before(it, self); }));
+    return static_cast<std::size_t>(std::count_if(
+        others.begin(), others.end(), [&](const auto& it) { return comes_before(it, self); }));
 }
 
 bool stronger_exists(const takeover_candidate& self, const std::vector<takeover_candidate>& others)
--- a/src/plugins/entry/entry_host.cpp
+++ b/src/plugins/entry/entry_host.cpp
@@ -15,6 +15,7 @@
 
 #include "quincewing/base/hash.hpp"
 #include "quincewing/deployment/entry_stop_schedule.hpp"
+#include "quincewing/deployment/store_call_counts.hpp"
 #include "quincewing/logging/event_log.hpp"
 #include "quincewing/peers/peers_task.hpp"
 
@@ -47,6 +48,7 @@
     void on_view_change();
     void on_limits_change();
     void on_host_lost(const host_id& host);
+    void log_store_calls();
     void tick();
     void continue_shutdown(instant now);
     [[nodiscard]] bool configuration_in_force() const;
@@ -55,6 +57,7 @@
 
     event_loop& loop;
     entry_settings settings;
+    store_call_counts store_calls;
     deployment_api platform;
     registry metrics;
     host_id self;
@@ -173,6 +176,9 @@
               metrics.gauge("quincewing_coordinating") = coordination.core().coordinating() ? 1 : 0;
               metrics.gauge("quincewing_cut_off_from_servers") = reach.cut_off() ? 1 : 0;
               metrics.counter("quincewing_peer_bytes_sent_total") = peers.counts().bytes_sent;
+              for (const auto& [call, n] : store_calls.all()) {
+                  metrics.counter("quincewing_store_calls_total", {{"call", call}}) = n;
+              }
               metrics.counter("quincewing_peer_messages_unknown_total") = peers.counts().unknown;
               metrics.counter("quincewing_peer_messages_unreadable_total") =
                   peers.counts().unreadable;
@@ -182,6 +188,7 @@
           [this] { return conditions.describe(); }),
       tick_timer(loop, [this] { tick(); })
 {
+    platform.store = store_calls.wrap(std::move(platform.store));
 }
 
 shared_retry_budget& entry_host::tasks::budget(const service_id& service)
@@ -253,6 +260,19 @@
     reach.on_host_lost(host);
 }
 
+void entry_host::tasks::log_store_calls()
+{
+    const auto counts = store_calls.take_new();
+    if (counts.empty()) {
+        return;
+    }
+    std::vector<log_field> fields;
+    for (const auto& [call, n] : counts) {
+        fields.emplace_back(call, n);
+    }
+    log_event("store_calls", fields);
+}
+
 void entry_host::tasks::tick()
 {
     const auto now = monotonic_now();
@@ -272,6 +292,7 @@
     listener.tick(now);
     if (now >= next_log_tick) {
         next_log_tick = now + log_period;
+        log_store_calls();
         standard_log().tick(now);
     }
     if (stopping) {
--- a/tests/auto/assignment/takeover_order_test.cpp
+++ b/tests/auto/assignment/takeover_order_test.cpp
@@ -45,7 +45,8 @@
     CHECK(ranks.size() == host_count);
 }
 
-TEST_CASE("takeover order: a host yields to one of twice its processor, never to one that tells none")
+TEST_CASE(
+    "takeover order: a host yields to one of twice its processor, never to one that tells none")
 {
     const takeover_candidate weak{.host = host_id{"w"}, .cores = 0.1};
     CHECK(stronger_exists(weak, {{.host = host_id{"s"}, .cores = 0.5}}));
