An append that the store did not take is followed by a pause or by a read, never by another append at once

Change: a pause of 0.1 s that doubles to 1 s after an append that was turned away; after a conflict nothing is appended until the stream was read. A host reads the table only when it is its turn to take the term, and not before the lead that it leaves to stronger hosts at its start.

--- a/include/quincewing/assignment/coordinator.hpp
+++ b/include/quincewing/assignment/coordinator.hpp
@@ -37,6 +37,9 @@
     /// Most calls that one tick starts. A burst of all renewals would occupy the host for longer
     /// than the timeout of a call.
     std::size_t max_calls_per_tick{100};
+    /// Delay before an append is tried again that the store turned away; doubles up to the maximum.
+    duration min_append_pause{millis{100}};
+    duration max_append_pause{seconds{1}};
     /// Delay before a failed call is repeated.
     duration call_retry_delay{millis{150}};
     /// Time without heartbeats after which another host takes over the term.
@@ -163,7 +166,13 @@
     void begin_term(instant now);
     void lose_term(const char* why);
     void start_append(instant now, assignment_table next);
+    [[nodiscard]] bool may_append(instant now) const
+    {
+        return !pending_append_ && !read_before_append_ && now >= next_append_;
+    }
     void try_takeover(instant now);
+    /// How long after the last sign of a coordinator this host tries to take the term.
+    [[nodiscard]] duration takeover_delay() const;
     void advance_ranges(instant now);
     void advance_range(instant now, const assigned_range& range);
     void on_grant(instant now, const assigned_range& range, const pending_call& call,
@@ -204,6 +213,11 @@
     /// Table of the append whose outcome is not known yet.
     std::optional<assignment_table> pending_append_;
     bool append_outcome_unknown_{};
+    /// The last append conflicted: what the stream holds has to be read first.
+    bool read_before_append_{};
+    /// Before this no append is begun, as the store turned the last one away.
+    instant next_append_{};
+    duration append_pause_{};
     /// The read under way is followed by an attempt to take over the term.
     bool takeover_pending_{};
     instant store_call_sent_{};
--- a/src/libs/assignment/coordinator.cpp
+++ b/src/libs/assignment/coordinator.cpp
@@ -57,6 +57,7 @@
     // still arrive, and then the next append at this offset fails.
     pending_append_.reset();
     append_outcome_unknown_ = false;
+    read_before_append_ = false;
     end_ = end;
     table_known_ = true;
     const auto stored = table ? std::move(*table) : assignment_table{};
@@ -188,6 +189,7 @@
     }
     if (outcome == append_outcome::appended) {
         end_.value += 1;
+        append_pause_ = {};
         const bool own = pending_append_->coordinator == options_.self;
         auto next = std::move(*pending_append_);
         pending_append_.reset();
@@ -203,6 +205,9 @@
     }
     if (outcome == append_outcome::not_done) {
         pending_append_.reset();
+        append_pause_ =
+            std::clamp(append_pause_ * 2, options_.min_append_pause, options_.max_append_pause);
+        next_append_ = now + append_pause_;
         // A term that the store did not take back is given up again with the next tick.
         const bool gives_up = stopping_ || standing_aside_;
         coordinating_ = coordinating_ || (gives_up && table_.coordinator == options_.self);
@@ -212,6 +217,7 @@
     if (outcome == append_outcome::conflict) {
         pending_append_.reset();
         append_outcome_unknown_ = false;
+        read_before_append_ = true;
     }
     read_pending_ = false;
     request_read(now);
@@ -239,15 +245,18 @@
 }
 
 // Hosts try in order of rank, so that they do not compete after the loss of a coordinator.
-void coordinator::try_takeover(instant now)
+duration coordinator::takeover_delay() const
 {
     constexpr millis delay_per_rank{120};
     constexpr std::size_t max_delayed_ranks = 10;
     const auto wait = term_vacant_ ? duration{0} : duration{options_.takeover_timeout};
-    const auto delay = wait + delay_per_rank * std::min(takeover_rank_, max_delayed_ranks);
-    const bool just_started = started_ && now - *started_ < options_.takeover_start_delay;
-    if (stopping_ || standing_aside_ || coordinating_ || pending_append_ || just_started ||
-        now - last_heartbeat_ < delay) {
+    return wait + delay_per_rank * std::min(takeover_rank_, max_delayed_ranks);
+}
+
+void coordinator::try_takeover(instant now)
+{
+    if (stopping_ || standing_aside_ || coordinating_ || !may_append(now) ||
+        now - last_heartbeat_ < takeover_delay()) {
         takeover_pending_ = false;
         return;
     }
@@ -283,7 +292,7 @@
 
 void coordinator::give_up_term(instant now)
 {
-    if (!acting(now) || pending_append_) {
+    if (!acting(now) || !may_append(now)) {
         return;
     }
     auto next = table_;
@@ -365,9 +374,10 @@
         advance_ranges(now);
         return;
     }
-    const bool silent =
-        now - last_heartbeat_ > options_.takeover_timeout || term_vacant_ || !table_known_;
-    if (!stopping_ && !standing_aside_ && silent && due && !takeover_pending_ &&
+    const bool just_started = now - *started_ < options_.takeover_start_delay;
+    // A host reads the table only when it is its turn to take the term.
+    const bool silent = now - last_heartbeat_ >= takeover_delay();
+    if (!stopping_ && !just_started && !standing_aside_ && silent && due && !takeover_pending_ &&
         (!pending_append_ || append_outcome_unknown_)) {
         takeover_pending_ = table_known_ || table_.term == 0;
         request_read(now);
@@ -574,7 +584,7 @@
 
 void coordinator::update_table(instant now)
 {
-    if (pending_append_ || stopping_ || standing_aside_) {
+    if (!may_append(now) || stopping_ || standing_aside_) {
         return;
     }
     if (now < next_balance_ && !has_unstored_change()) {
--- a/tests/auto/assignment/coordinator_test.cpp
+++ b/tests/auto/assignment/coordinator_test.cpp
@@ -47,12 +47,21 @@
             } else if (std::holds_alternative<read_table>(effect)) {
                 core.on_table_read(now, now, stored, log_offset{end});
             } else if (const auto* append = std::get_if<append_table>(&effect)) {
+                if (appends_turned_away) {
+                    // As a task does after each answer.
+                    ++appends;
+                    core.on_append(now, append_outcome::not_done);
+                    core.tick(now);
+                    continue;
+                }
                 const bool fits = append->at.value == end;
                 if (fits) {
                     stored = decode_table(append->data).value();
                     ++end;
                 }
+                appends += fits ? 0 : 1;
                 core.on_append(now, fits ? append_outcome::appended : append_outcome::conflict);
+                core.tick(now);
             } else if (const auto* grant = std::get_if<grant_keys>(&effect)) {
                 grants.push_back(*grant);
                 core.on_call(now, grant->number, grant_outcome(*grant), "", connection_number{1});
@@ -83,6 +92,8 @@
     instant now{seconds{1000}};
     std::optional<assignment_table> stored;
     std::uint64_t end{};
+    bool appends_turned_away{};
+    std::size_t appends{};
     bool store_unreachable{};
     backend_servers servers;
     std::vector<grant_keys> grants;
@@ -535,3 +546,47 @@
     f.run(millis{1000});
     CHECK(f.core.coordinating());
 }
+
+TEST_CASE("coordinator: a store that turns appends away is asked less and less often")
+{
+    coordinator_fixture f;
+    f.add_server("s1");
+    f.run(seconds{3});
+    REQUIRE(f.all_held());
+    f.appends_turned_away = true;
+    // The keys need a new fence, which has to be stored.
+    f.grant_outcome = [](const grant_keys&) { return call_outcome::fenced; };
+    f.run(seconds{3});
+    CHECK(f.appends >= 3);
+    CHECK(f.appends <= 6);
+    f.appends_turned_away = false;
+    f.grant_outcome = [](const grant_keys&) { return call_outcome::accepted; };
+    f.run(seconds{2});
+    CHECK(f.all_held());
+}
+
+// Each append that conflicted was followed by the next one at once, and the read between them was
+// not heeded, as an append was under way: a host whose term another one had taken went on for 2 s.
+TEST_CASE("coordinator: an append that conflicts is followed by a read, not by another append")
+{
+    coordinator_options options;
+    options.read_interval = seconds{2};
+    coordinator_fixture f{"h1", options};
+    f.add_server("s1");
+    f.run(seconds{3});
+    REQUIRE(f.all_held());
+    const auto read_at = f.core.last_read();
+    while (f.core.last_read() == read_at) {
+        f.run(millis{50});
+    }
+    // Another host takes the term.
+    f.stored->term += 1;
+    f.stored->revision += 1;
+    f.stored->coordinator = host_id{"h2"};
+    ++f.end;
+    f.appends = 0;
+    f.grant_outcome = [](const grant_keys&) { return call_outcome::fenced; };
+    f.run(millis{1500});
+    CHECK_FALSE(f.core.coordinating());
+    CHECK(f.appends == 1);
+}
