Fewer calls to the store: at a start, while there is no coordinator, and by bounds

Change: only the coordinator watches the configuration (others read it once it is unconfirmed for 1.4 s, as they did beside that) and reads the quarantines, which it tells to all; servers are read by other hosts once the coordinator is silent and the list is older than half of the time in which a leaving server must be known; the periods of the coordinator's reads of servers (350 ms at least) and of the configuration follow from those bounds.

--- a/src/plugins/entry/configuration_follower.cpp
+++ b/src/plugins/entry/configuration_follower.cpp
@@ -8,9 +8,10 @@
 
 namespace {
 
-// How long the store may hold a read open until a new version arrives. A connection that has gone
-// silent is noticed after this time and the timeout of calls to the store.
-constexpr millis poll_timeout{500};
+// How long the store may hold a read open until a new version arrives, as a part of the time within
+// which it must be in force. A connection that has gone silent is noticed after this time and the
+// timeout of calls to the store.
+constexpr int polls_per_bound = 4;
 // Without a confirmation for this long, a host that does not watch the store reads it once.
 constexpr millis max_unconfirmed{1400};
 // A read that takes longer is slow: the store is, or the connection has gone silent.
@@ -101,7 +102,7 @@
     waiting_since_ = sent;
     const bool snapshot = snapshot_needed_;
     const bool poll = watching_ && !snapshot && !context_.view.currency().behind();
-    const auto wait = poll ? duration{poll_timeout} : duration{0};
+    const auto wait = poll ? context_.settings.bounds.configuration / polls_per_bound : duration{0};
     auto done = [this, sent, wait, snapshot](const store_page& page) {
         on_page(sent, wait, page, snapshot);
     };
--- a/src/plugins/entry/coordination_task.cpp
+++ b/src/plugins/entry/coordination_task.cpp
@@ -18,9 +18,11 @@
 // stronger one may not reach the store.
 constexpr seconds yield_interval{60};
 constexpr seconds balance_log_period{1};
-// Without messages from the coordinator for this long, this host reads the store itself.
+// Without messages from the coordinator for this long, a host reads the servers itself, once what
+// it knows of them is older than a part of the time within which a leaving one must be known.
 constexpr millis heartbeat_timeout{700};
-// The same when the coordinator's own reads of the servers are older than this.
+constexpr int silent_ages_per_drain = 2;
+// The same, messages or not.
 constexpr millis max_servers_age{1600};
 // Key of the only record in the assignment stream.
 constexpr const char* table_key = "table";
@@ -126,7 +128,7 @@
     }
     const auto follower_mode = fresh ? read_mode::off : read_mode::standalone;
     follower_.set_read_mode(core_.coordinating() ? read_mode::coordinator : follower_mode);
-    configuration_.set_watching(core_.coordinating() || !fresh);
+    configuration_.set_watching(core_.coordinating());
 }
 
 void coordination_task::stop(instant now)
@@ -163,8 +165,9 @@
 bool coordination_task::has_fresh_coordinator(instant now) const
 {
     const auto silence = now - last_message_at_;
-    return silence < heartbeat_timeout &&
-           duration{coordinator_versions_.servers_age} + silence < max_servers_age;
+    const auto age = duration{coordinator_versions_.servers_age} + silence;
+    const auto max_silent_age = context_.settings.bounds.drain / silent_ages_per_drain;
+    return age < max_servers_age && (silence < heartbeat_timeout || age < max_silent_age);
 }
 
 takeover_candidate coordination_task::own_candidacy() const
--- a/src/plugins/entry/crash_exchange.cpp
+++ b/src/plugins/entry/crash_exchange.cpp
@@ -97,13 +97,14 @@
 
 // ---- the store
 
+// The others are told, so that a start of all hosts costs one read.
 void crash_exchange::read_store(instant now, bool coordinating)
 {
     if (coordinating && !was_coordinating_) {
         read_done_ = false;
     }
     was_coordinating_ = coordinating;
-    if (read_done_ || read_pending_ || now < next_read_) {
+    if (!coordinating || read_done_ || read_pending_ || now < next_read_) {
         return;
     }
     read_pending_ = true;
@@ -132,6 +133,9 @@
             log_event("quarantine_unreadable", {{"key", it.key}, {"error", merged.error()}});
         }
     }
+    if (!page.records.empty()) {
+        peers_.send_to_all(guard_.report_all(now, false));
+    }
 }
 
 void crash_exchange::write_store(instant now)
--- a/src/plugins/entry/store_follower.cpp
+++ b/src/plugins/entry/store_follower.cpp
@@ -8,9 +8,10 @@
 
 namespace {
 
-// Derived from the time within which a draining server must get no more requests, less the time to
-// relay the change to the other hosts.
-constexpr millis servers_period{350};
+// Part of the time within which a draining server must get no more requests; the rest is for
+// telling the other hosts, and for a read that fails.
+constexpr int servers_periods_per_drain = 6;
+constexpr millis min_servers_period{350};
 // Longer, because all hosts read while there is no coordinator.
 constexpr millis servers_period_standalone{700};
 // The pause before a retry is twice the base after the first failed read and doubles up to the
@@ -34,7 +35,9 @@
 void store_follower::set_read_mode(read_mode mode)
 {
     const bool on = mode != read_mode::off;
-    servers_period_ = mode == read_mode::coordinator ? servers_period : servers_period_standalone;
+    const auto period = std::max<duration>(min_servers_period, context_.settings.bounds.drain /
+                                                                   servers_periods_per_drain);
+    servers_period_ = mode == read_mode::coordinator ? period : servers_period_standalone;
     if (on && !reading_) {
         next_servers_read_ = {};
     }
--- a/tests/auto/deployment/store_call_counts_test.cpp
+++ b/tests/auto/deployment/store_call_counts_test.cpp
@@ -8,10 +8,12 @@
 {
     std::size_t passed_on = 0;
     store_call_counts counts;
-    const auto store = counts.wrap(
-        {.newest = [&](store_stream, const auto& done) { ++passed_on, done({}); },
-         .read = [&](store_stream, log_offset, duration, const auto& done) { ++passed_on, done({}); },
-         .append = [&](store_stream, const auto&, auto, const auto& done) { ++passed_on, done({}); }});
+    const auto store =
+        counts.wrap({.newest = [&](store_stream, const auto& done) { ++passed_on, done({}); },
+                     .read = [&](store_stream, log_offset, duration,
+                                 const auto& done) { ++passed_on, done({}); },
+                     .append = [&](store_stream, const auto&, auto,
+                                   const auto& done) { ++passed_on, done({}); }});
     store.newest(store_stream::servers, [](const store_page&) {});
     store.read(store_stream::servers, {}, {}, [](const store_page&) {});
     store.read(store_stream::servers, {}, {}, [](const store_page&) {});
