The strongest hosts dispatch, and a silent dispatcher's requests go to the next one before a host grants by itself

Each host whose request was not confirmed within 120 ms granted a slot by itself, one at least: 295 hosts at a server of 2 slots, which reset 2,083 connections; 1,244 answers were 502. A request that a dispatcher does not confirm asks the next one; only if that is silent too a host grants within its share.

--- a/src/plugins/entry/dispatch_task.cpp
+++ b/src/plugins/entry/dispatch_task.cpp
@@ -11,6 +11,9 @@
 
 // A live dispatcher answers at once, if only to confirm that the request is queued.
 constexpr millis acknowledge_timeout{120};
+// Dispatchers that one request asks before this host grants slots itself: each host of a large
+// fleet that does so sends a request to a server that may be full.
+constexpr std::uint32_t max_dispatchers_asked = 2;
 // A dispatcher that did not answer in time is not asked again for this long.
 constexpr seconds unresponsive_period{2};
 
@@ -23,9 +26,8 @@
 
 host_id dispatch_task::dispatcher_host_of(const group_id& group)
 {
-    if (hosts_version_ != peers_.connected_version()) {
-        hosts_version_ = peers_.connected_version();
-        dispatcher_hosts_.clear();
+    if (candidates_.empty() || hosts_version_ != peers_.connected_version()) {
+        on_hosts_change();
     }
     const auto found = dispatcher_hosts_.find(group);
     if (found != dispatcher_hosts_.end()) {
@@ -37,20 +39,23 @@
 host_id dispatch_task::choose_dispatcher_host(const group_id& group) const
 {
     const auto name = group.service.value + "/" + group.keyed_server.value + "/";
-    auto best = context_.self;
-    auto best_hash = stable_hash(name + best.value);
-    if (leaving_.contains(best)) {
-        best_hash = 0;
-    }
+    const auto* chosen = choose_dispatcher(name, candidates_);
+    return chosen == nullptr ? context_.self : chosen->host;
+}
+
+void dispatch_task::on_hosts_change()
+{
+    hosts_version_ = peers_.connected_version();
+    dispatcher_hosts_.clear();
+    candidates_ = {{.host = context_.self,
+                    .cores = context_.settings.cores,
+                    .skipped = leaving_.contains(context_.self)}};
     for (const auto& host : peers_.connected_hosts()) {
+        const auto* identity = peers_.identity_of(host);
         const bool skipped = leaving_.contains(host) || unresponsive_until_.contains(host);
-        const auto hash = stable_hash(name + host.value);
-        if (!skipped && hash > best_hash) {
-            best = host;
-            best_hash = hash;
-        }
+        candidates_.push_back(
+            {.host = host, .cores = identity == nullptr ? 0 : identity->cores, .skipped = skipped});
     }
-    return best;
 }
 
 std::vector<backend_server> dispatch_task::servers_of(const group_id& id) const
@@ -118,6 +123,7 @@
     auto& it = requests_.at(number);
     const auto id = group_of(it.request);
     it.dispatcher_host = dispatcher_host_of(id);
+    ++it.times_asked;
     it.asked_at = monotonic_now();
     it.acknowledged = false;
     it.uses_fallback = false;
@@ -342,7 +348,7 @@
 void dispatch_task::on_host_leaving(const host_id& host)
 {
     leaving_.insert(host);
-    dispatcher_hosts_.clear();
+    on_hosts_change();
     if (host != context_.self) {
         ask_elsewhere(host);
     }
@@ -371,19 +377,23 @@
         const auto found = requests_.find(number);
         if (found != requests_.end()) {
             skip_dispatchers_of(found->second.dispatcher_host, now);
-            submit_to_fallback(number);
+            if (found->second.times_asked < max_dispatchers_asked) {
+                send_to_dispatcher(number);
+            } else {
+                submit_to_fallback(number);
+            }
         }
     }
     check_dispatchers(now);
     if (std::erase_if(unresponsive_until_, [&](const auto& it) { return now > it.second; }) > 0) {
-        dispatcher_hosts_.clear();
+        on_hosts_change();
     }
 }
 
 void dispatch_task::skip_dispatchers_of(const host_id& host, instant now)
 {
     if (unresponsive_until_.emplace(host, now + unresponsive_period).second) {
-        dispatcher_hosts_.clear();
+        on_hosts_change();
         log_event("dispatcher_silent", {{"host", host.value}});
     }
 }
--- a/src/plugins/entry/dispatch_task.hpp
+++ b/src/plugins/entry/dispatch_task.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "quincewing/dispatch/dispatcher.hpp"
+#include "quincewing/dispatch/dispatcher_choice.hpp"
 #include "quincewing/entry/host_context.hpp"
 #include "quincewing/peers/peers_task.hpp"
 
@@ -71,6 +72,7 @@
         instant deadline;
         slot_hooks hooks;
         host_id dispatcher_host;
+        std::uint32_t times_asked{};
         instant asked_at;
         /// When the dispatcher last confirmed that it has queued the request.
         instant confirmed_at;
@@ -83,6 +85,7 @@
 
     [[nodiscard]] host_id dispatcher_host_of(const group_id& group);
     [[nodiscard]] host_id choose_dispatcher_host(const group_id& group) const;
+    void on_hosts_change();
     static group_id group_of(const dispatch_request& it)
     {
         return {it.service, it.required_server};
@@ -124,6 +127,8 @@
     std::map<group_id, dispatcher> fallback_dispatchers_;
     std::map<std::uint64_t, pending_request> requests_;
     std::set<host_id> leaving_;
+    /// This host and the connected ones.
+    std::vector<dispatch_candidate> candidates_;
     /// What choose_dispatcher_host() said of the hosts connected in this version.
     std::map<group_id, host_id> dispatcher_hosts_;
     std::uint64_t hosts_version_{};
