Links between hosts that carry nothing are asked for a sign of life rarely in a large fleet

Change: link_watch, pure: 10 ms between signs of life for each link that a host has, 0.5 s at least and 5 s at most, while nothing waits; from the first thing sent of which nothing was heard, pings each 0.5 s and the end after 1.6 s as before. Hosts that dispatch are found silent by their confirmations (120 ms), coordinators by their beats.

--- a/include/quincewing/dispatch/dispatcher_choice.hpp
+++ b/include/quincewing/dispatch/dispatcher_choice.hpp
@@ -18,9 +18,9 @@
 };
 
 /// The host whose dispatcher serves the group: the same on all hosts that know the same candidates,
-/// and for other groups the same as before when one comes or goes. Only the strongest hosts dispatch
-/// once all have told their cores: one dispatcher hears of every request for its servers. nullptr
-/// if all are skipped.
+/// and for other groups the same as before when one comes or goes. Only the strongest hosts
+/// dispatch once all have told their cores: one dispatcher hears of every request for its servers.
+/// nullptr if all are skipped.
 const dispatch_candidate* choose_dispatcher(std::string_view group,
                                             const std::vector<dispatch_candidate>& candidates);
 
--- a/include/quincewing/peers/peers_options.hpp
+++ b/include/quincewing/peers/peers_options.hpp
@@ -2,6 +2,7 @@
 
 #include "quincewing/base/ids.hpp"
 #include "quincewing/base/time.hpp"
+#include "quincewing/peers/link_watch.hpp"
 
 #include <cstddef>
 #include <string>
@@ -18,9 +19,8 @@
     data_centre_id data_centre;
     /// Processor cores that this host may use; 0: not told to others.
     double cores{};
-    duration ping_every{millis{500}};
-    /// A connection on which nothing came for this long is given up and made anew.
-    duration silence{millis{1600}};
+    /// When a link asks for a sign of life, and when it is given up and made anew.
+    link_watch_options watch;
     duration reconnect_least{millis{20}};
     duration reconnect_most{seconds{1}};
     /// An address that nobody answered at for this long is forgotten; zero: never.
--- a/src/plugins/peers/peer_link.cpp
+++ b/src/plugins/peers/peer_link.cpp
@@ -30,11 +30,12 @@
 
 peer_link::peer_link(event_loop& loop, peers_task& owner, std::string address)
     : loop_(loop), owner_(owner), address_(std::move(address)),
-      backoff_(owner.options_.reconnect_least), reconnect_timer_(loop, [this] { connect(); }),
+      backoff_(owner.options_.reconnect_least), watch_(owner.options_.watch),
+      reconnect_timer_(loop, [this] { connect(); }),
       silence_timer_(loop, [this] { check_silence(); })
 {
     connect();
-    silence_timer_.every(owner.options_.ping_every);
+    silence_timer_.every(owner.options_.watch.ping_every);
 }
 
 // Something between the two ends may have lost track of an open connection while new ones work.
@@ -43,17 +44,23 @@
     if (!connection_ || connection_->closed()) {
         return;
     }
-    if (monotonic_now() - connection_->last_heard() > owner_.options_.silence) {
+    switch (watch_.check(monotonic_now(), connection_->last_heard(), owner_.links_.size())) {
+    case link_action::none:
+        break;
+    case link_action::ping:
+        connection_->ping();
+        break;
+    case link_action::give_up:
         connection_->fail(0);
-        return;
+        break;
     }
-    connection_->ping();
 }
 
 void peer_link::connect()
 {
     const auto to = parse_endpoint(address_);
     connected_ = false;
+    watch_.reset(monotonic_now());
     auto* bev = bufferevent_socket_new(loop_.base(),
                                        open_socket_from(parse_endpoint(owner_.options_.listen).ip),
                                        BEV_OPT_CLOSE_ON_FREE);
@@ -143,6 +150,7 @@
     if (connection_->pending_bytes() > owner_.options_.max_pending) {
         return;
     }
+    watch_.on_sent(monotonic_now(), connection_->last_heard());
     connection_->write(*stream, data);
 }
 
@@ -157,6 +165,7 @@
         return;
     }
     ++owner_.counts_.forwarded;
+    watch_.on_sent(monotonic_now(), connection_->last_heard());
     if (!body.empty()) {
         connection_->write(*stream, body);
         connection_->end(*stream);
--- a/src/plugins/peers/peer_link.hpp
+++ b/src/plugins/peers/peer_link.hpp
@@ -44,6 +44,7 @@
     duration backoff_;
     /// When it last stood, or when it was first wanted.
     instant last_stood_{monotonic_now()};
+    link_watch watch_;
     timer reconnect_timer_;
     timer silence_timer_;
 };
