A class of which a dispatcher knows little counts as served like the others, not as served always

A class was taken to have had three requests and three grants, so that a rare one, at 1.0, came behind the one that fills the queue, at 0.66, each time; its callers wait 1 s, the queue is as long as those wait that have 4 s. Change: the prior of a class has the share that all classes together got.

--- a/include/quincewing/dispatch/fair_share_tracker.hpp
+++ b/include/quincewing/dispatch/fair_share_tracker.hpp
@@ -11,8 +11,8 @@
 {
     /// Time constant of the exponential decay by which older requests count less.
     duration decay_time{seconds{4}};
-    /// Requests that each class is assumed to have submitted and been granted, so that its first
-    /// real ones change the share little.
+    /// Requests that each class is assumed to have submitted, of which it got the share of all
+    /// classes, so that its first real ones change the share little.
     double prior_count{3};
     /// How much smaller the granted share may get with each step of lower urgency.
     double share_step_per_priority{0.04};
@@ -39,6 +39,8 @@
     };
 
     void decay(instant now);
+    /// Share of the requests of all classes that got a slot; 1 before the first.
+    [[nodiscard]] double overall_share() const;
 
     fair_share_options options_;
     instant decayed_at_{};
--- a/src/libs/dispatch/fair_share_tracker.cpp
+++ b/src/libs/dispatch/fair_share_tracker.cpp
@@ -33,12 +33,24 @@
     classes_[traffic_class].granted += 1;
 }
 
+double fair_share_tracker::overall_share() const
+{
+    counts all{.submitted = options_.prior_count, .granted = options_.prior_count};
+    for (const auto& [traffic_class, count] : classes_) {
+        all.submitted += count.submitted;
+        all.granted += count.granted;
+    }
+    return all.granted / all.submitted;
+}
+
+// A class of which little is known counts as one that got as much as the others. As one that got
+// everything it would come behind them each time, for as long as it is rare.
 double fair_share_tracker::score(std::uint64_t traffic_class, std::uint32_t priority) const
 {
     const auto found = classes_.find(traffic_class);
     const auto count = found == classes_.end() ? counts{} : found->second;
-    const auto share =
-        (count.granted + options_.prior_count) / (count.submitted + options_.prior_count);
+    const auto share = (count.granted + options_.prior_count * overall_share()) /
+                       (count.submitted + options_.prior_count);
     return share + options_.share_step_per_priority * priority;
 }
 
--- a/tests/auto/dispatch/dispatcher_test.cpp
+++ b/tests/auto/dispatch/dispatcher_test.cpp
@@ -226,3 +226,36 @@
         CHECK(loads[1].served_share() > 0.8 * loads[0].served_share());
     }
 }
+
+// The pattern: a server of two slots with half as much work again as it can do, whose callers can
+// wait as long as the queue is, and now and then a request of another route that can't wait.
+TEST_CASE("dispatcher: a rare class is served as often as the one that fills the queue")
+{
+    const auto seed = testing::options().seed;
+    MESSAGE("seed " << seed);
+    class_load rare_total{};
+    class_load main_total{};
+    for (std::uint64_t i = 0; i < 6; ++i) {
+        load_simulation simulation{seed + i, 1, 2};
+        std::vector<class_load> loads{{.per_second = 13.5,
+                                       .priority = 2,
+                                       .objective = seconds{1},
+                                       .timeout = seconds{4},
+                                       .processing_time = millis{220}},
+                                      {.per_second = 0.1,
+                                       .priority = 2,
+                                       .objective = seconds{1},
+                                       .timeout = seconds{1},
+                                       .processing_time = millis{220}}};
+        simulation.run(seconds{100}, loads);
+        for (auto* total : {&main_total, &rare_total}) {
+            const auto& from = total == &main_total ? loads[0] : loads[1];
+            total->submitted += from.submitted;
+            total->in_time += from.in_time;
+            total->late += from.late;
+        }
+    }
+    REQUIRE(rare_total.submitted > 30);
+    CHECK(main_total.served_share() > 0.6);
+    CHECK(rare_total.served_share() >= 0.9 * main_total.served_share());
+}
