A host that starts in a large fleet links to the strongest hosts first, and to the others a few at a time

Change: link_queue, pure: links to hosts with at least half of the cores of the strongest come at once, the others by the host's own processor (100 a second at 0.1 core). Hosts of one size, or whose size is not known, link at once as before. The size stands in the host's record in the store, whose value earlier builds do not read, and in the headers of a visitor. Also: tests of a fleet take the program of a second build for every second host (--other-program).

--- a/include/quincewing/peers/peers_task.hpp
+++ b/include/quincewing/peers/peers_task.hpp
@@ -43,7 +43,7 @@
     /// The link to this host fell; it is tried again. May be empty.
     std::function<void(const host_id&)> on_disconnected;
     /// This host opened a connection to here. May be empty.
-    std::function<void(const host_id&)> on_visitor;
+    std::function<void(const peer_identity&)> on_visitor;
     /// The host's process is known to be gone.
     std::function<void(const host_id&)> on_process_gone;
     /// A request forwarded by another host; its exchange is set up towards that host.
--- a/src/plugins/entry/entry_host.cpp
+++ b/src/plugins/entry/entry_host.cpp
@@ -114,7 +114,7 @@
                      reach.on_host_connected(it.host, it.data_centre);
                  },
              .on_disconnected = [this](const host_id& host) { on_host_lost(host); },
-             .on_visitor = [this](const host_id& host) { peers.connect_to({address_of(host)}); },
+             .on_visitor = [this](const peer_identity& it) { announcer.link_back(it); },
              .on_process_gone = [](const host_id&) {},
              .on_request = [this](const exchange_ptr& it) { relays.on_request(it); },
              .next_request_id = [] { return request_id{}; }}),
--- a/src/plugins/entry/host_announcer.cpp
+++ b/src/plugins/entry/host_announcer.cpp
@@ -1,9 +1,8 @@
 #include "host_announcer.hpp"
 
+#include "quincewing/deployment/host_record.hpp"
 #include "quincewing/logging/event_log.hpp"
 
-#include <set>
-
 namespace quincewing {
 
 namespace {
@@ -13,14 +12,22 @@
 } // namespace
 
 host_announcer::host_announcer(host_context context, peers_task& peers)
-    : context_(std::move(context)), peers_(peers)
+    : context_(std::move(context)), peers_(peers), links_(context_.settings.cores)
 {
 }
 
+void host_announcer::link_back(const peer_identity& visitor)
+{
+    if (!peers_.connected(visitor.host)) {
+        links_.add(address_of(visitor.host), visitor.cores);
+    }
+}
+
 // Registers before it looks for other hosts: of two hosts that start at the same time, at least one
 // then finds the other, and its connection makes it known to the other.
 void host_announcer::tick(instant now)
 {
+    peers_.connect_to(links_.take_due());
     if (call_pending_ || stopping_ || now < next_attempt_) {
         return;
     }
@@ -34,7 +41,8 @@
 void host_announcer::announce()
 {
     call_pending_ = true;
-    store_record record{.key = context_.settings.peers, .value = context_.self.value};
+    const host_record own{.host = context_.self, .cores = context_.settings.cores};
+    store_record record{.key = context_.settings.peers, .value = format_host_record(own)};
     context_.platform.store.append(store_stream::hosts, std::move(record), std::nullopt,
                                    [this](const store_append_result& result) {
                                        call_pending_ = false;
@@ -55,14 +63,15 @@
             return;
         }
         peers_found_ = true;
-        std::set<std::string> addresses;
+        std::size_t found = 0;
         for (const auto& it : page.records) {
             if (it.value && is_address(it.key)) {
-                addresses.insert(it.key);
+                ++found;
+                links_.add(it.key, parse_host_record(*it.value).cores);
             }
         }
-        log_event("hosts_found", {{"hosts", addresses.size()}, {"offset", page.end.value}});
-        peers_.connect_to(addresses);
+        log_event("hosts_found", {{"hosts", found}, {"offset", page.end.value}});
+        peers_.connect_to(links_.take_due());
     });
 }
 
--- a/src/plugins/entry/host_announcer.hpp
+++ b/src/plugins/entry/host_announcer.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "quincewing/entry/host_context.hpp"
+#include "quincewing/membership/link_queue.hpp"
 #include "quincewing/peers/peers_task.hpp"
 
 #include <functional>
@@ -14,6 +15,8 @@
     host_announcer(host_context context, peers_task& peers);
 
     void tick(instant now);
+    /// Links to a host that has opened a connection to here.
+    void link_back(const peer_identity& visitor);
     /// Removes this host's record; done is called after the attempt, successful or not.
     void stop(std::function<void()> done);
 
@@ -23,6 +26,7 @@
 
     host_context context_;
     peers_task& peers_;
+    link_queue links_;
     bool announced_{};
     bool peers_found_{};
     bool call_pending_{};
--- a/src/plugins/peers/peer_session.cpp
+++ b/src/plugins/peers/peer_session.cpp
@@ -42,12 +42,12 @@
     header_list headers{{":status", "200"}};
     append_identity(headers, owner_.own_identity());
     connection_->respond(it, headers);
-    const auto* visitor = find_header(it.headers, "qw-host");
-    if (visitor != nullptr) {
-        visitor_ = host_id{*visitor};
+    const auto visitor = read_identity(it.headers);
+    if (visitor) {
+        visitor_ = visitor->host;
     }
-    if (visitor != nullptr && owner_.hooks_.on_visitor) {
-        owner_.hooks_.on_visitor(host_id{*visitor});
+    if (visitor && owner_.hooks_.on_visitor) {
+        owner_.hooks_.on_visitor(*visitor);
     }
     it.on_data = [this](h2_stream&, const std::uint8_t* data, std::size_t n) {
         if (!unreadable_ && !reader_.feed(data, n)) {
--- a/tests/auto/support/main.cpp
+++ b/tests/auto/support/main.cpp
@@ -31,6 +31,8 @@
             options.seed = std::strtoull(argv[i] + 7, nullptr, 10);
         } else if (std::strncmp(argv[i], "--schedules=", 12) == 0) {
             options.schedules = std::strtoull(argv[i] + 12, nullptr, 10);
+        } else if (std::strncmp(argv[i], "--other-program=", 16) == 0) {
+            options.other_program = argv[i] + 16;
         } else if (std::strncmp(argv[i], "--write-wire-forms=", 19) == 0) {
             options.write_wire_forms = argv[i] + 19;
         } else if (std::strcmp(argv[i], "--only") == 0) {
--- a/tests/auto/support/test_options.hpp
+++ b/tests/auto/support/test_options.hpp
@@ -13,6 +13,8 @@
     std::uint64_t schedules{0};
     /// Only the one schedule with the seed, told in full.
     bool only{false};
+    /// Program of every second host of a fleet, to test two builds side by side; empty: today's.
+    std::string other_program;
     /// File to which the encoded forms of this build are written; empty: none. For a build that
     /// lands: --write-wire-forms=tests/auto/wire/landed/COMMIT.txt
     std::string write_wire_forms;
