--- a/include/quincewing/deployment/host_record.hpp
+++ b/include/quincewing/deployment/host_record.hpp
@@ -15,7 +15,8 @@
     double cores{};
 };
 
-/// "address:port/instance cores=0.5". Builds up to 177085f write the host alone and read none of it.
+/// "address:port/instance cores=0.5". Builds up to 177085f write the host alone and read none of
+/// it.
 std::string format_host_record(const host_record& it);
 /// Parts that can't be read or are not known count as not told.
 host_record parse_host_record(std::string_view text);
