--- a/src/plugins/entry/entry_host.cpp
+++ b/src/plugins/entry/entry_host.cpp
@@ -267,6 +267,7 @@
         return;
     }
     std::vector<log_field> fields;
+    fields.reserve(counts.size());
     for (const auto& [call, n] : counts) {
         fields.emplace_back(call, n);
     }
--- a/tests/auto/wire/wire_compatibility_test.cpp
+++ b/tests/auto/wire/wire_compatibility_test.cpp
@@ -39,11 +39,11 @@
 }
 
 template <class T>
-wire_form make_form(std::string name)
+wire_form make_form(const std::string& name)
 {
     T it{};
     sample_filler{}.fill(it);
-    return {.name = std::move(name),
+    return {.name = name,
             .shape = shape_of<T>(),
             .sample = codec::encode(it),
             .read_and_encode = read_and_encode<T>};
