Log lines that tell the hypotheses of a stop apart

The log of a stop did not tell when the signal came as against the line 'stopping', how late the loop was, which request was started last, nor what ended a request at a server when its connection went.

SIGTERM and SIGINT now have a handler of their own, which notes the time and the last reading of the clock before it; the loop is woken by an eventfd. 'stopping' tells both, 'stopped' the largest delay of a tick, the time taken and the arrival of the last request that was started; 'ends_at_stop' counts the ends by reason and whether a server was at work; 'exit' tells the bytes that were left in buffers. A caller that left is told from a connection that was reset, and both from requests that stood behind a closing or truncated response. No decision changes: every step still counts from the moment at which the loop learns of it.

--- a/include/quincewing/entry/entry_host.hpp
+++ b/include/quincewing/entry/entry_host.hpp
@@ -3,7 +3,9 @@
 #include "quincewing/deployment/deployment_api.hpp"
 #include "quincewing/entry/entry_settings.hpp"
 #include "quincewing/net/event_loop.hpp"
+#include "quincewing/net/stop_signals.hpp"
 
+#include <cstddef>
 #include <functional>
 #include <memory>
 
@@ -24,7 +26,9 @@
     std::string start();
     /// Shuts down gracefully: reports not ready to the load balancer, lets open requests finish,
     /// then calls done.
-    void stop(std::function<void()> done);
+    void stop(const stop_signal& signal, std::function<void()> done);
+    /// Bytes of answers that have not left the process yet.
+    [[nodiscard]] std::size_t unsent_bytes() const;
 
 private:
     struct tasks;
--- a/include/quincewing/net/event_loop.hpp
+++ b/include/quincewing/net/event_loop.hpp
@@ -28,6 +28,8 @@
 
 /// The process's monotonic clock. It goes on while the process or its machine is suspended.
 instant monotonic_now();
+/// What monotonic_now() returned last. Safe in a signal handler.
+instant last_clock_reading();
 timeval to_timeval(duration it);
 
 /// Calls a function after a time, or again and again. Stops when destroyed.
--- a/src/app/serve_entry.cpp
+++ b/src/app/serve_entry.cpp
@@ -3,6 +3,7 @@
 #include "quincewing/deployment/platform_adapter.hpp"
 #include "quincewing/entry/entry_host.hpp"
 #include "quincewing/logging/event_log.hpp"
+#include "quincewing/net/stop_signals.hpp"
 
 #include <csignal>
 #include <event2/event.h>
@@ -40,21 +41,21 @@
     return tl::make_unexpected(bad_settings);
 }
 
-/// Calls a function at a signal.
-class signal_hook
+/// Calls a function at each SIGHUP.
+class reload_signal
 {
 public:
-    signal_hook(event_loop& loop, int number, std::function<void()> fire) : fire_(std::move(fire))
+    reload_signal(event_loop& loop, std::function<void()> fire) : fire_(std::move(fire))
     {
         const auto call = [](evutil_socket_t, short, void* arg) {
-            static_cast<signal_hook*>(arg)->fire_();
+            static_cast<reload_signal*>(arg)->fire_();
         };
-        it_ = evsignal_new(loop.base(), number, call, this);
+        it_ = evsignal_new(loop.base(), SIGHUP, call, this);
         event_add(it_, nullptr);
     }
-    ~signal_hook() { event_free(it_); }
-    signal_hook(const signal_hook&) = delete;
-    signal_hook& operator=(const signal_hook&) = delete;
+    ~reload_signal() { event_free(it_); }
+    reload_signal(const reload_signal&) = delete;
+    reload_signal& operator=(const reload_signal&) = delete;
 
 private:
     std::function<void()> fire_;
@@ -101,11 +102,12 @@
         return cannot_listen;
     }
     timer last_answers{loop, [&] { loop.stop(); }};
-    const auto stop = [&] { host.stop([&] { last_answers.once(time_for_last_answers); }); };
-    signal_hook term{loop, SIGTERM, stop};
-    signal_hook interrupt{loop, SIGINT, stop};
-    signal_hook reload{loop, SIGHUP, [&] { on_reload(line.settings); }};
+    stop_signals stop{loop, [&](const stop_signal& it) {
+                          host.stop(it, [&] { last_answers.once(time_for_last_answers); });
+                      }};
+    reload_signal reload{loop, [&] { on_reload(line.settings); }};
     loop.run();
+    log_event("exit", {{"unsent_bytes", host.unsent_bytes()}});
     standard_log().tick(monotonic_now());
     // The sockets end with the process; taking the tasks apart in order gains nothing.
     std::_Exit(0);
--- a/src/libs/net/event_loop.cpp
+++ b/src/libs/net/event_loop.cpp
@@ -1,10 +1,17 @@
 #include "quincewing/net/event_loop.hpp"
 
+#include <atomic>
 #include <ctime>
 #include <event2/event_struct.h>
 
 namespace quincewing {
 
+namespace {
+
+std::atomic<duration::rep> last_reading_us{0};
+
+} // namespace
+
 event_loop::event_loop() : base_(event_base_new()) {}
 
 event_loop::~event_loop()
@@ -28,7 +35,14 @@
 {
     timespec it{};
     clock_gettime(CLOCK_BOOTTIME, &it);
-    return instant{duration{it.tv_sec * 1'000'000LL + it.tv_nsec / 1'000}};
+    const duration now{it.tv_sec * 1'000'000LL + it.tv_nsec / 1'000};
+    last_reading_us.store(now.count(), std::memory_order_relaxed);
+    return instant{now};
+}
+
+instant last_clock_reading()
+{
+    return instant{duration{last_reading_us.load(std::memory_order_relaxed)}};
 }
 
 timeval to_timeval(duration it)
--- a/src/plugins/entry/caller_connection.cpp
+++ b/src/plugins/entry/caller_connection.cpp
@@ -49,7 +49,9 @@
         },
         [](bufferevent*, short what, void* arg) {
             if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0) {
-                static_cast<caller_connection*>(arg)->close();
+                static_cast<caller_connection*>(arg)->close(
+                    (what & BEV_EVENT_EOF) != 0 ? disconnect_cause::caller_gone
+                                                : disconnect_cause::connection_reset);
             }
         },
         this);
@@ -272,11 +274,10 @@
         linger_ = front->close_after_ && !front->last_of_caller_ && !front->aborted_;
         no_more_requests_ = true;
         closing_ = true;
+        const auto cause = front->aborted_ ? disconnect_cause::behind_truncated_response
+                                           : disconnect_cause::behind_last_response;
         for (const auto& it : exchanges_) {
-            it->connection_ = nullptr;
-            if (it->on_disconnect) {
-                it->on_disconnect();
-            }
+            it->disconnect(cause);
         }
         exchanges_.clear();
         return;
@@ -347,7 +348,7 @@
     }
 }
 
-void caller_connection::close()
+void caller_connection::close(disconnect_cause cause)
 {
     if (bev_ == nullptr) {
         return;
@@ -361,10 +362,7 @@
     auto unfinished = std::move(exchanges_);
     exchanges_.clear();
     for (const auto& it : unfinished) {
-        it->connection_ = nullptr;
-        if (it->on_disconnect) {
-            it->on_disconnect();
-        }
+        it->disconnect(cause);
     }
     if (hooks_.on_closed) {
         hooks_.on_closed(this);
--- a/src/plugins/entry/caller_connection.hpp
+++ b/src/plugins/entry/caller_connection.hpp
@@ -56,6 +56,8 @@
     /// Closes the connection after the idle timeout and rejects a request whose head takes longer
     /// than the head timeout.
     void check_timeouts(instant now);
+    /// Bytes of responses that have not left the process yet.
+    [[nodiscard]] std::size_t buffered_bytes() const;
 
 private:
     friend class caller_exchange;
@@ -70,11 +72,10 @@
     [[nodiscard]] bool closes_after(const caller_exchange& it);
     void flush_responses();
     void finish_first_exchange();
-    [[nodiscard]] std::size_t buffered_bytes() const;
     /// No request is being received or handled, and all responses are sent.
     [[nodiscard]] bool idle() const;
     void finish_sending();
-    void close();
+    void close(disconnect_cause cause = disconnect_cause::closed_by_host);
     void pause_reading_if_full();
 
     event_loop& loop_;
--- a/src/plugins/entry/caller_exchange.cpp
+++ b/src/plugins/entry/caller_exchange.cpp
@@ -47,6 +47,25 @@
 
 } // namespace
 
+const char* to_string(disconnect_cause it)
+{
+    switch (it) {
+    case disconnect_cause::none:
+        return "none";
+    case disconnect_cause::caller_gone:
+        return "caller_gone";
+    case disconnect_cause::connection_reset:
+        return "connection_reset";
+    case disconnect_cause::behind_last_response:
+        return "behind_last_response";
+    case disconnect_cause::behind_truncated_response:
+        return "behind_truncated_response";
+    case disconnect_cause::closed_by_host:
+        return "closed_by_host";
+    }
+    return "none";
+}
+
 caller_exchange::caller_exchange(caller_connection& connection, std::string caller_,
                                  message_head head_, instant arrived_)
     : caller(std::move(caller_)), head(std::move(head_)), arrived(arrived_),
@@ -59,6 +78,15 @@
     evbuffer_free(out_);
 }
 
+void caller_exchange::disconnect(quincewing::disconnect_cause cause)
+{
+    connection_ = nullptr;
+    cause_ = cause;
+    if (on_disconnect) {
+        on_disconnect();
+    }
+}
+
 void caller_exchange::begin(int status, const header_list& headers,
                             std::optional<std::uint64_t> length)
 {
--- a/src/plugins/entry/caller_exchange.hpp
+++ b/src/plugins/entry/caller_exchange.hpp
@@ -16,6 +16,22 @@
 
 class caller_connection;
 
+/// Why a connection ended before the response to a request was complete.
+enum class disconnect_cause
+{
+    none,
+    /// The caller closed its sending side.
+    caller_gone,
+    connection_reset,
+    /// The response before it announced the close of the connection.
+    behind_last_response,
+    /// The response before it is truncated.
+    behind_truncated_response,
+    closed_by_host
+};
+
+const char* to_string(disconnect_cause it);
+
 /// One request of a caller and its response. Responses are sent in the order of the requests on
 /// the connection.
 class caller_exchange
@@ -53,11 +69,15 @@
     [[nodiscard]] bool begun() const { return begun_; }
     [[nodiscard]] bool ended() const { return ended_; }
     [[nodiscard]] bool disconnected() const { return connection_ == nullptr; }
+    [[nodiscard]] quincewing::disconnect_cause disconnect_cause() const { return cause_; }
 
 private:
     friend class caller_connection;
 
+    void disconnect(quincewing::disconnect_cause cause);
+
     caller_connection* connection_;
+    quincewing::disconnect_cause cause_{};
     /// Bytes of the response that were not moved to the connection yet.
     evbuffer* out_;
     bool received_{};
--- a/src/plugins/entry/caller_listener.cpp
+++ b/src/plugins/entry/caller_listener.cpp
@@ -107,6 +107,7 @@
     if (refusing_) {
         flow->refuse_unsent();
     } else {
+        last_started_ = exchange->arrived;
         flow->start();
     }
     if (flow->ended()) {
@@ -114,6 +115,15 @@
     }
 }
 
+std::size_t caller_listener::buffered_bytes() const
+{
+    std::size_t n = 0;
+    for (const auto& [key, it] : connections_) {
+        n += it->buffered_bytes();
+    }
+    return n;
+}
+
 void caller_listener::remove_ended_flows()
 {
     std::erase_if(flows_, [](const auto& it) { return it->ended(); });
--- a/src/plugins/entry/caller_listener.hpp
+++ b/src/plugins/entry/caller_listener.hpp
@@ -41,6 +41,10 @@
     [[nodiscard]] bool idle() const { return flows_.empty() && connections_.empty(); }
     void tick(instant now);
     [[nodiscard]] std::size_t connections() const { return connections_.size(); }
+    /// Bytes of responses that have not left the process yet.
+    [[nodiscard]] std::size_t buffered_bytes() const;
+    /// Arrival of the last request that was started.
+    [[nodiscard]] instant last_started() const { return last_started_; }
 
 private:
     /// caller: the IP address at the other end.
@@ -61,6 +65,7 @@
     bool stopping_{};
     bool closing_idle_{};
     bool refusing_{};
+    instant last_started_{};
 };
 
 } // namespace quincewing
--- a/src/plugins/entry/entry_host.cpp
+++ b/src/plugins/entry/entry_host.cpp
@@ -11,6 +11,7 @@
 #include "request_relay.hpp"
 #include "server_connections.hpp"
 #include "status_server.hpp"
+#include "stop_record.hpp"
 #include "store_follower.hpp"
 
 #include "quincewing/base/hash.hpp"
@@ -51,6 +52,9 @@
     void log_store_calls();
     void tick();
     void continue_shutdown(instant now);
+    void log_stop(bool whole) const;
+    /// How requests ended since the stop began.
+    void log_ends();
     [[nodiscard]] bool configuration_in_force() const;
     [[nodiscard]] bool ready() const;
     [[nodiscard]] shared_retry_budget& budget(const service_id& service);
@@ -81,7 +85,9 @@
     timer tick_timer;
     instant started{monotonic_now()};
     instant next_log_tick{};
+    instant last_tick{};
     instant stop_started_at{};
+    stop_record stop_notes;
     entry_stop_schedule stop_steps;
     bool stopping{};
     bool record_removed{};
@@ -277,6 +283,7 @@
 void entry_host::tasks::tick()
 {
     const auto now = monotonic_now();
+    stop_notes.note_tick(now - std::exchange(last_tick, now) - tick_period);
     announcer.tick(now);
     follower.tick(now);
     configuration.tick(now);
@@ -301,6 +308,26 @@
     }
 }
 
+void entry_host::tasks::log_stop(bool whole) const
+{
+    const auto signalled = stop_notes.signal.received_at;
+    log_event("stopped", {{"host", self.value},
+                          {"whole", whole ? "yes" : "no"},
+                          {"took", monotonic_now() - signalled},
+                          {"tick_delay", stop_notes.tick_delay},
+                          {"last_started", listener.last_started() - signalled}});
+}
+
+void entry_host::tasks::log_ends()
+{
+    for (const auto& it : services.ends.take()) {
+        log_event("ends_at_stop", {{"reason", it.end.reason},
+                                   {"at_server", it.end.at_server ? "yes" : "no"},
+                                   {"status", it.end.status},
+                                   {"requests", it.requests}});
+    }
+}
+
 void entry_host::tasks::continue_shutdown(instant now)
 {
     const auto elapsed = now - stop_started_at;
@@ -317,7 +344,8 @@
         if (!done) {
             listener.answer_unfinished();
         }
-        log_event("stopped", {{"host", self.value}, {"whole", done ? "yes" : "no"}});
+        log_stop(done);
+        log_ends();
         std::exchange(on_stopped, nullptr)();
     }
 }
@@ -351,7 +379,12 @@
     return {};
 }
 
-void entry_host::stop(std::function<void()> done)
+std::size_t entry_host::unsent_bytes() const
+{
+    return tasks_->listener.buffered_bytes();
+}
+
+void entry_host::stop(const stop_signal& signal, std::function<void()> done)
 {
     auto& it = *tasks_;
     if (it.stopping) {
@@ -362,7 +395,11 @@
     it.stop_started_at = now;
     it.stop_steps = make_entry_stop_schedule(it.settings.bounds.grace);
     it.on_stopped = std::move(done);
-    log_event("stopping", {{"host", it.self.value}});
+    it.stop_notes = {.signal = signal};
+    (void)it.services.ends.take();
+    log_event("stopping", {{"host", it.self.value},
+                           {"sent_after", now - signal.sent_after},
+                           {"received", now - signal.received_at}});
     it.listener.set_stopping();
     it.coordination.stop(now);
     it.dispatch.on_host_leaving(it.self);
--- a/src/plugins/entry/flow_services.hpp
+++ b/src/plugins/entry/flow_services.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "request_ends.hpp"
+
 #include "quincewing/admission/crash_guard.hpp"
 #include "quincewing/assignment/assignment_table.hpp"
 #include "quincewing/base/ids.hpp"
@@ -40,6 +42,7 @@
     std::function<void(const backend_server&, instant sent_at, const server_notice&)> on_notice;
     /// Records the response time of a server.
     std::function<void(const server_id&, duration)> record_service_time;
+    request_ends ends;
 };
 
 } // namespace quincewing
--- a/src/plugins/entry/request_flow_end.cpp
+++ b/src/plugins/entry/request_flow_end.cpp
@@ -101,7 +101,7 @@
         it->abort();
     }
     leave_server(attempt_outcome::unused, false);
-    finish(0, "caller_gone");
+    finish(0, to_string(exchange_->disconnect_cause()));
 }
 
 void request_flow::refuse(const char* reason, duration retry_after)
@@ -122,6 +122,8 @@
     if (ended_) {
         return;
     }
+    services_.ends.add(
+        {.reason = reason, .at_server = stage_ == stage::at_server, .status = status});
     ended_ = true;
     stage_ = stage::ended;
     timer_.cancel();
--- a/src/plugins/entry/request_flow_send.cpp
+++ b/src/plugins/entry/request_flow_send.cpp
@@ -148,7 +148,7 @@
     }
     if (exchange_->disconnected()) {
         leave_server(attempt_outcome::unused, false);
-        finish(0, "caller_gone");
+        finish(0, to_string(exchange_->disconnect_cause()));
         return;
     }
     const bool usable = services_.may_start_requests() && server_still_usable();
--- a/src/plugins/entry/request_flow_server.cpp
+++ b/src/plugins/entry/request_flow_server.cpp
@@ -181,7 +181,7 @@
     }
     leave_server(outcome, reusable);
     if (exchange_->disconnected()) {
-        finish(0, "caller_gone");
+        finish(0, to_string(exchange_->disconnect_cause()));
         return;
     }
     if (outcome == attempt_outcome::rejected) {
@@ -245,7 +245,7 @@
         note_crash(took);
     }
     if (exchange_->disconnected()) {
-        finish(0, "caller_gone");
+        finish(0, to_string(exchange_->disconnect_cause()));
         return;
     }
     if (relaying_) {
--- a/tests/auto/entry/entry_host_test.cpp
+++ b/tests/auto/entry/entry_host_test.cpp
@@ -116,7 +116,7 @@
     // The process lives on this long after the stop, until its socket buffers are sent.
     timer end{loop, [&] { loop.stop(); }};
     timer stop{loop, [&] {
-                   host.stop([&] {
+                   host.stop(stop_signal_now(), [&] {
                        stopped = true;
                        end.once(millis{150});
                    });
--- a/tests/auto/entry/entry_stop_test.cpp
+++ b/tests/auto/entry/entry_stop_test.cpp
@@ -47,7 +47,7 @@
         begin_timer.once(begin_after);
         timer exit{loop_, [&] { loop_.stop(); }};
         timer stop{loop_, [&] {
-                       host_.stop([&] {
+                       host_.stop(stop_signal_now(), [&] {
                            stopped_ = true;
                            exit.once(exit_after_stop);
                        });
