Stop of an entry host: its steps count from the signal

What callers saw: on a host whose loop was late when the signal came, a request that was sent later than 3 s after the SIGTERM was started, and what servers had not answered got no answer, since the end came at the kill or after it.

Cause: each step counted from the moment at which the loop handled the signal.

Evidence: the new test blocks the loop for 400 ms from the signal on. On the unchanged code: entry_late_stop_test.cpp:18: CHECK( caller.status() == "503" ) values: CHECK( == 503 ) entry_late_stop_test.cpp:20: CHECK_FALSE( run.deployment().executed.contains(id) ) values: CHECK_FALSE( true ) entry_late_stop_test.cpp:25: CHECK( caller.status() == "502" ) values: CHECK( == 502 ) entry_late_stop_test.cpp:43: CHECK( it.ended_after() > duration{0} ) values: CHECK( 0 us > 0 us ) (the request sent at 3.05 s was executed; the one at a server had no answer within 6 s).

Fix: the schedule holds moments, computed from the signal {sent_after, received_at} and the grace period. They count from sent_after, but from a sixth of the grace period before received_at at most; the end never lies before five sixths of the grace period after received_at, which is the last part of the grace period whenever in that time the signal was sent.

--- a/src/libs/deployment/entry_stop_schedule.cpp
+++ b/src/libs/deployment/entry_stop_schedule.cpp
@@ -15,17 +15,27 @@
 // Servers may work in all of the grace period but this last part of it.
 constexpr int last_part_of_grace = 6;
 
+/// The signal was sent then or later. A process that was frozen cannot tell how long it was.
+instant earliest_time_of(const stop_signal& it, duration grace)
+{
+    return std::max(it.sent_after, it.received_at - grace / last_part_of_grace);
+}
+
 } // namespace
 
 // Half of the grace period at least is left for requests that are at a server when no more are
-// started.
-entry_stop_schedule make_entry_stop_schedule(duration grace)
+// started. Servers get the time up to the last part of the grace period, whenever the signal was
+// sent.
+entry_stop_schedule make_entry_stop_schedule(const stop_signal& signal, duration grace)
 {
+    const auto from = earliest_time_of(signal, grace);
+    const auto last_part = grace / last_part_of_grace;
     const auto refuse_unsent =
-        std::min<duration>(balancer_detection_time + late_arrival_time, grace / 2);
-    return {.close_idle = std::min<duration>(balancer_detection_time, refuse_unsent),
+        from + std::min<duration>(balancer_detection_time + late_arrival_time, grace / 2);
+    return {.close_idle = std::min(signal.received_at + balancer_detection_time, refuse_unsent),
             .refuse_unsent = refuse_unsent,
-            .answer_rest = grace - std::min<duration>(flush_time, grace / last_part_of_grace)};
+            .answer_rest = std::max(from + grace - std::min<duration>(flush_time, last_part),
+                                    signal.received_at + grace - last_part)};
 }
 
 } // namespace quincewing
--- a/src/plugins/entry/entry_host.cpp
+++ b/src/plugins/entry/entry_host.cpp
@@ -86,7 +86,6 @@
     instant started{monotonic_now()};
     instant next_log_tick{};
     instant last_tick{};
-    instant stop_started_at{};
     stop_record stop_notes;
     entry_stop_schedule stop_steps;
     bool stopping{};
@@ -330,15 +329,14 @@
 
 void entry_host::tasks::continue_shutdown(instant now)
 {
-    const auto elapsed = now - stop_started_at;
-    if (elapsed >= stop_steps.close_idle) {
+    if (now >= stop_steps.close_idle) {
         listener.close_idle_connections();
     }
-    if (elapsed < stop_steps.refuse_unsent) {
+    if (now < stop_steps.refuse_unsent) {
         return;
     }
     listener.refuse_unsent_requests();
-    const bool overdue = elapsed >= stop_steps.answer_rest;
+    const bool overdue = now >= stop_steps.answer_rest;
     const bool done = listener.idle() && relays.idle() && coordination.stopped() && record_removed;
     if ((done || overdue) && on_stopped) {
         if (!done) {
@@ -392,8 +390,7 @@
     }
     const auto now = monotonic_now();
     it.stopping = true;
-    it.stop_started_at = now;
-    it.stop_steps = make_entry_stop_schedule(it.settings.bounds.grace);
+    it.stop_steps = make_entry_stop_schedule(signal, it.settings.bounds.grace);
     it.on_stopped = std::move(done);
     it.stop_notes = {.signal = signal};
     (void)it.services.ends.take();
