Stop of an entry host: the clock says whether a request may start

What callers saw: a request that a late loop read after the last start was started all the same, and was given up at the end although it was sent later than 3 s after the SIGTERM.

Cause: a tick set the flag that forbids starts. In a turn of a late loop the sockets are read before the tick runs.

Evidence: the new test blocks the loop from 2.8 s to 3.2 s after the signal; a caller sends at 3.1 s.

Fix: may_start_requests asks the clock. A timer at the exact time refuses the requests that wait.

--- a/src/plugins/entry/caller_listener.cpp
+++ b/src/plugins/entry/caller_listener.cpp
@@ -104,7 +104,7 @@
 {
     const auto flow = std::make_shared<request_flow>(context_, services_, exchange);
     flows_.push_back(flow);
-    if (refusing_) {
+    if (!may_start_requests()) {
         flow->refuse_unsent();
     } else {
         last_started_ = exchange->arrived;
@@ -192,6 +192,8 @@
         return;
     }
     refusing_ = true;
+    // The loop's clock is coarser than the process's: a timer may fire some milliseconds early.
+    last_start_ = std::min(last_start_, monotonic_now());
     if (listener_ != nullptr) {
         evconnlistener_free(listener_);
         listener_ = nullptr;
--- a/src/plugins/entry/caller_listener.hpp
+++ b/src/plugins/entry/caller_listener.hpp
@@ -31,10 +31,11 @@
     void set_stopping() { stopping_ = true; }
     /// From now on connections are closed after a short time without a request.
     void close_idle_connections();
-    /// Stops listening; refuses new requests on open connections, and those that are not at a
-    /// server.
+    /// From then on no request is started or sent to a server, however late the loop is.
+    void set_last_start(instant it) { last_start_ = it; }
+    [[nodiscard]] bool may_start_requests() const { return monotonic_now() < last_start_; }
+    /// Stops listening, and refuses the requests that are not at a server.
     void refuse_unsent_requests();
-    [[nodiscard]] bool may_start_requests() const { return !refusing_; }
     /// Answers all requests that are being handled, and logs them: the process is about to end.
     void answer_unfinished();
     /// No request is being handled and no connection is open.
@@ -65,6 +66,7 @@
     bool stopping_{};
     bool closing_idle_{};
     bool refusing_{};
+    instant last_start_{instant::max()};
     instant last_started_{};
 };
 
--- a/src/plugins/entry/entry_host.cpp
+++ b/src/plugins/entry/entry_host.cpp
@@ -20,6 +20,7 @@
 #include "quincewing/logging/event_log.hpp"
 #include "quincewing/peers/peers_task.hpp"
 
+#include <algorithm>
 #include <random>
 #include <variant>
 
@@ -83,6 +84,7 @@
     host_announcer announcer;
     status_server status;
     timer tick_timer;
+    timer refusal_timer;
     instant started{monotonic_now()};
     instant next_log_tick{};
     instant last_tick{};
@@ -191,7 +193,8 @@
                   static_cast<double>(standard_log().left_out());
           },
           [this] { return conditions.describe(); }),
-      tick_timer(loop, [this] { tick(); })
+      tick_timer(loop, [this] { tick(); }),
+      refusal_timer(loop, [this] { listener.refuse_unsent_requests(); })
 {
     platform.store = store_calls.wrap(std::move(platform.store));
 }
@@ -335,7 +338,6 @@
     if (now < stop_steps.refuse_unsent) {
         return;
     }
-    listener.refuse_unsent_requests();
     const bool overdue = now >= stop_steps.answer_rest;
     const bool done = listener.idle() && relays.idle() && coordination.stopped() && record_removed;
     if ((done || overdue) && on_stopped) {
@@ -398,6 +400,8 @@
                            {"sent_after", now - signal.sent_after},
                            {"received", now - signal.received_at}});
     it.listener.set_stopping();
+    it.listener.set_last_start(it.stop_steps.refuse_unsent);
+    it.refusal_timer.once(std::max(it.stop_steps.refuse_unsent - now, duration{0}));
     it.coordination.stop(now);
     it.dispatch.on_host_leaving(it.self);
     it.peers.send_to_all(host_leaving{});
--- a/src/plugins/entry/flow_services.hpp
+++ b/src/plugins/entry/flow_services.hpp
@@ -32,7 +32,8 @@
     std::function<shared_retry_budget&(const service_id&)> budget;
     /// What the fleet knows of requests that crash servers.
     crash_guard& crashes;
-    /// False once the host is about to end: requests that are not at a server are refused.
+    /// False once the host is about to end: requests that are not at a server are refused. Ask it
+    /// right before each send.
     std::function<bool()> may_start_requests;
     /// Moving average of response body sizes in bytes, by route name.
     std::map<std::string, double> response_sizes;
--- a/src/plugins/entry/request_flow.cpp
+++ b/src/plugins/entry/request_flow.cpp
@@ -347,6 +347,10 @@
     }
     const auto* found = context_.view.find_usable_server(server);
     const bool owns = !key_ || context_.view.owner_of(service_, *key_).server == server;
+    if (!services_.may_start_requests()) {
+        refuse_unsent();
+        return;
+    }
     if (reject_if_quarantined()) {
         return;
     }
--- a/src/plugins/entry/request_flow_send.cpp
+++ b/src/plugins/entry/request_flow_send.cpp
@@ -75,7 +75,7 @@
     return {.may_send =
                 [this] {
                     services_.reach.on_connected(server_);
-                    return server_still_usable();
+                    return services_.may_start_requests() && server_still_usable();
                 },
             .on_sent = [this] { on_sent(); },
             .on_head = [this](message_head& head) { return on_head(head); },
--- a/tests/auto/entry/entry_late_stop_test.cpp
+++ b/tests/auto/entry/entry_late_stop_test.cpp
@@ -42,3 +42,18 @@
     check_answered_at_end(it, early);
     CHECK(it.ended_after() > duration{0});
 }
+
+// Guards against requests that a late loop reads before the tick which forbids them.
+TEST_CASE("entry stop: a request that a late loop reads after the last start is refused")
+{
+    late_stop_run it{{.service_time = millis{30}}};
+    auto& served = it.add_caller({.bytes = post_request("served"),
+                                  .connect_after = millis{2600},
+                                  .send_after = millis{2700}});
+    auto& late = it.add_caller(
+        {.bytes = post_request("late"), .connect_after = millis{2700}, .send_after = millis{3100}});
+    it.block(millis{2800}, millis{3200});
+    it.run();
+    CHECK(served.status() == "200");
+    check_refused(it, late, "late");
+}
