Entry: an at-most-once request is not sent after its caller has left

What callers saw: a request ran although its caller had closed the connection before it was sent (GONE).

Cause: at the caller's leaving a request at its server was left to finish without a look at whether its connection was still being made.

Evidence, the new test on the unchanged code: server_end_test.cpp:118: ERROR: CHECK( it.server.received().empty() ) values: CHECK( false )

Fix: only a request that was sent is left to finish. One that was not sent is withdrawn and its slot returned; its verdict is certain.

--- a/src/plugins/entry/request_flow_end.cpp
+++ b/src/plugins/entry/request_flow_end.cpp
@@ -94,11 +94,13 @@
 }
 
 // An idempotent request is cancelled by closing the connection to the server. One that must run at
-// most once is left to finish, because a cancelled run would have an unknown outcome.
+// most once is left to finish once it was sent, because a cancelled run would have an unknown
+// outcome.
 void request_flow::on_caller_disconnect()
 {
     const auto self = shared_from_this();
-    if (stage_ == stage::at_server && !idempotent() && channel() != nullptr) {
+    const bool sent = channel() != nullptr && channel()->sent();
+    if (stage_ == stage::at_server && !idempotent() && sent) {
         return;
     }
     if (auto* it = channel()) {
--- a/tests/auto/entry/server_end_test.cpp
+++ b/tests/auto/entry/server_end_test.cpp
@@ -3,11 +3,15 @@
 #include "small_deployment.hpp"
 
 #include "quincewing/entry/entry_host.hpp"
+#include "quincewing/net/endpoint.hpp"
 
+#include <arpa/inet.h>
 #include <doctest/doctest.h>
 #include <functional>
 #include <memory>
 #include <string>
+#include <sys/socket.h>
+#include <unistd.h>
 
 using namespace quincewing;
 using namespace quincewing::testing;
@@ -70,6 +74,20 @@
            "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
+/// A caller that closes its connection at once.
+void send_and_leave(const std::string& address, const std::string& bytes)
+{
+    const auto to = parse_endpoint(address);
+    const int fd = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in at{};
+    at.sin_family = AF_INET;
+    at.sin_port = htons(to.port);
+    inet_pton(AF_INET, to.ip.c_str(), &at.sin_addr);
+    REQUIRE(connect(fd, reinterpret_cast<sockaddr*>(&at), sizeof at) == 0);
+    CHECK(send(fd, bytes.data(), bytes.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(bytes.size()));
+    close(fd);
+}
+
 } // namespace
 
 // Guards against a request that is given up at its server since the server was silent for 600 ms.
@@ -91,3 +109,11 @@
     });
     CHECK_MESSAGE(caller->statuses() == "200", caller->received());
 }
+
+// Guards against a request that its server gets although the caller left before it was sent.
+TEST_CASE("entry server end: a request is not sent after its caller has left")
+{
+    server_end_run it{{}};
+    it.run(millis{500}, [&] { send_and_leave(it.callers(), post_request("a")); });
+    CHECK(it.server.received().empty());
+}
