Entry: pipelined requests survive a response before theirs that breaks off

What callers saw: pipelined requests that were at servers were dropped with their connection, without an answer, when the response before theirs broke off after it had begun (responses above held_answer, 128 kB).

Cause: nothing can be sent behind a truncated response, and requests were started, and left at servers, behind responses that had begun.

Fix: no request is started behind a response that has begun and not ended, and a response is held up to answer_buffer (256 kB) while requests behind it are at servers. Connections without pipelining are as before.

Left: a response above answer_buffer whose followers were at servers before it began.

--- a/src/plugins/entry/caller_connection.cpp
+++ b/src/plugins/entry/caller_connection.cpp
@@ -184,10 +184,12 @@
 }
 
 // A request that must not run twice starts only after the responses before its own: if one of
-// these closes the connection, the caller sends the request again.
+// these closes the connection, the caller sends the request again. None is started behind a
+// response that has begun: if that is truncated, nothing can be sent after it.
 void caller_connection::start_requests()
 {
     bool all_idempotent = true;
+    bool response_open = false;
     for (std::size_t i = 0; i < exchanges_.size(); ++i) {
         const auto it = exchanges_[i];
         if (!it->received_) {
@@ -197,6 +199,10 @@
         if (!it->started_ && i > 0 && !(all_idempotent && idempotent)) {
             return;
         }
+        if (!it->started_ && response_open) {
+            return;
+        }
+        response_open = response_open || (it->begun_ && !it->ended_);
         all_idempotent = all_idempotent && idempotent;
         if (it->started_) {
             continue;
@@ -237,6 +243,15 @@
     return false;
 }
 
+bool caller_connection::started_behind(const caller_exchange& it) const
+{
+    const auto after = std::find_if(exchanges_.begin(), exchanges_.end(),
+                                    [&](const auto& other) { return other.get() == &it; });
+    return after != exchanges_.end() &&
+           std::any_of(std::next(after), exchanges_.end(),
+                       [](const auto& other) { return other->started_ && !other->ended_; });
+}
+
 void caller_connection::flush_responses()
 {
     if (bev_ == nullptr || flushing_) {
--- a/src/plugins/entry/caller_connection.hpp
+++ b/src/plugins/entry/caller_connection.hpp
@@ -70,6 +70,7 @@
     void start_requests();
     /// Whether the response to this request closes the connection because the host stops.
     [[nodiscard]] bool closes_after(const caller_exchange& it);
+    [[nodiscard]] bool started_behind(const caller_exchange& it) const;
     void flush_responses();
     void finish_first_exchange();
     /// No request is being received or handled, and all responses are sent.
--- a/src/plugins/entry/caller_exchange.cpp
+++ b/src/plugins/entry/caller_exchange.cpp
@@ -78,6 +78,11 @@
     evbuffer_free(out_);
 }
 
+bool caller_exchange::others_behind() const
+{
+    return !disconnected() && connection_->started_behind(*this);
+}
+
 bool caller_exchange::host_stops() const
 {
     return !disconnected() && connection_->hooks_.stopping && connection_->hooks_.stopping();
--- a/src/plugins/entry/caller_exchange.hpp
+++ b/src/plugins/entry/caller_exchange.hpp
@@ -69,6 +69,9 @@
     [[nodiscard]] bool begun() const { return begun_; }
     [[nodiscard]] bool ended() const { return ended_; }
     [[nodiscard]] bool disconnected() const { return connection_ == nullptr; }
+    /// Requests that were started wait behind this one's response: none of them can be answered if
+    /// it is truncated.
+    [[nodiscard]] bool others_behind() const;
     /// The host shuts down.
     [[nodiscard]] bool host_stops() const;
     [[nodiscard]] quincewing::disconnect_cause disconnect_cause() const { return cause_; }
--- a/src/plugins/entry/request_flow.hpp
+++ b/src/plugins/entry/request_flow.hpp
@@ -107,6 +107,8 @@
     void end_overlong_response();
     void on_caller_disconnect();
 
+    /// Longest response, in bytes, that is read in full before it begins.
+    [[nodiscard]] std::size_t max_held_response() const;
     void begin_response();
     void flush_buffered_body();
     void leave_server(attempt_outcome outcome, bool reusable);
--- a/src/plugins/entry/request_flow_server.cpp
+++ b/src/plugins/entry/request_flow_server.cpp
@@ -87,7 +87,7 @@
     report_.outcome = response_.status >= http_status::server_error ? attempt_outcome::failed
                                                                     : attempt_outcome::answered;
     const bool buffer_first =
-        idempotent() && (!response_.length || *response_.length <= context_.settings.held_answer);
+        idempotent() && (!response_.length || *response_.length <= max_held_response());
     const bool may_retry =
         report_.outcome == attempt_outcome::failed && may_retry_failed_response();
     if (!buffer_first && !may_retry) {
@@ -96,6 +96,14 @@
     return head_action::accept;
 }
 
+// A response that has begun and breaks off takes along what was started behind it.
+std::size_t request_flow::max_held_response() const
+{
+    const auto& limits = context_.settings;
+    return exchange_->others_behind() ? std::max(limits.held_answer, limits.answer_buffer)
+                                      : limits.held_answer;
+}
+
 void request_flow::begin_response()
 {
     relaying_ = true;
@@ -155,7 +163,7 @@
         return;
     }
     buffered_body_.append(buf, n);
-    if (buffered_body_.size() > context_.settings.held_answer) {
+    if (buffered_body_.size() > max_held_response()) {
         begin_response();
     }
 }
--- a/tests/auto/entry/server_end_test.cpp
+++ b/tests/auto/entry/server_end_test.cpp
@@ -117,3 +117,66 @@
     it.run(millis{500}, [&] { send_and_leave(it.callers(), post_request("a")); });
     CHECK(it.server.received().empty());
 }
+
+// Guards against pipelined requests that are dropped at their server since the answer before theirs
+// breaks off.
+TEST_CASE("entry server end: a response that breaks off leaves those behind it at the server")
+{
+    server_end_run it{{.retry = retry_policy::idempotent}};
+    const auto whole = response_to("a", std::string(200'000, '.'));
+    timer break_off{it.loop, [&] { it.server.send_and_close(whole.substr(0, 180'000), 0); }};
+    timer respond{it.loop, [&] { it.server.send(response_to("b", "ok"), 1); }};
+    std::unique_ptr<raw_caller> caller;
+    it.run(millis{2000}, [&] {
+        caller = std::make_unique<raw_caller>(it.loop, it.callers());
+        caller->send(post_request("a") + post_request("b"));
+        break_off.once(millis{200});
+        respond.once(millis{500});
+    });
+    CHECK_MESSAGE(caller->statuses() == "502 200", caller->statuses());
+}
+
+// Guards against a pipelined request that is sent to a server behind an answer that is too long to
+// be held, and dropped there when that answer breaks off.
+TEST_CASE("entry server end: no request is sent behind a response that may break off")
+{
+    server_end_run it{{.retry = retry_policy::idempotent}};
+    const auto whole = response_to("a", std::string(2'000'000, '.'));
+    std::unique_ptr<raw_caller> caller;
+    timer begin{it.loop, [&] { it.server.send(whole.substr(0, 1'000'000), 0); }};
+    timer pipeline{it.loop, [&] { caller->send(post_request("b")); }};
+    timer break_off{it.loop, [&] { it.server.send_and_close("", 0); }};
+    it.run(millis{1000}, [&] {
+        caller = std::make_unique<raw_caller>(it.loop, it.callers());
+        caller->send(post_request("a"));
+        begin.once(millis{100});
+        pipeline.once(millis{300});
+        break_off.once(millis{500});
+    });
+    CHECK(it.server.received().find("X-Request: b") == std::string::npos);
+    CHECK(caller->closed());
+}
+
+// Guards against a pipelined request that waits for good behind one that was answered in full.
+TEST_CASE("entry server end: a request behind a long response is sent when that has ended")
+{
+    server_end_run it{{.retry = retry_policy::idempotent}};
+    const auto whole = response_to("a", std::string(2'000'000, '.'));
+    std::unique_ptr<raw_caller> caller;
+    timer begin{it.loop, [&] { it.server.send(whole.substr(0, 1'000'000), 0); }};
+    timer pipeline{it.loop, [&] { caller->send(post_request("b")); }};
+    timer end{it.loop, [&] { it.server.send(whole.substr(1'000'000), 0); }};
+    it.server.on_received = [&] {
+        if (it.server.received().find("X-Request: b") != std::string::npos) {
+            it.server.send(response_to("b", "ok"), 0);
+        }
+    };
+    it.run(millis{1500}, [&] {
+        caller = std::make_unique<raw_caller>(it.loop, it.callers());
+        caller->send(post_request("a"));
+        begin.once(millis{100});
+        pipeline.once(millis{300});
+        end.once(millis{500});
+    });
+    CHECK_MESSAGE(caller->statuses() == "200 200", caller->statuses());
+}
