HTTP client: interim responses do not end a request

What callers saw: 502 for a request whose server sent more than 32 interim responses (1xx) while it was at work.

Cause: interim responses were counted with late responses to other requests, of which 32 are skipped before the connection counts as malformed.

Evidence, the new test on the unchanged code: client_connection_test.cpp:191: ERROR: CHECK( status == 200 ) values: CHECK( 0 == 200 )

Fix: interim responses are not counted; the request's deadline bounds them.

Measured: client connection: 4 of 4 cases pass.

--- a/include/quincewing/http/client_connection.hpp
+++ b/include/quincewing/http/client_connection.hpp
@@ -88,7 +88,9 @@
     bool busy_{};
     bool sent_{};
     bool skipping_{};
-    /// Responses before the one to the request, and bytes of its body.
+    /// The response that is being read is an interim one (1xx).
+    bool interim_{};
+    /// Responses to other requests before the one to the request, and bytes of its body.
     std::size_t skipped_{};
     std::size_t body_bytes_{};
     std::optional<std::size_t> body_limit_;
--- a/src/libs/http/client_connection.cpp
+++ b/src/libs/http/client_connection.cpp
@@ -17,8 +17,9 @@
 
 namespace {
 
-// Interim responses, and late ones to earlier requests, before the response to the request.
+// Late responses to earlier requests, before the response to the request.
 constexpr std::size_t max_skipped = 32;
+constexpr int first_final_status = 200;
 
 duration parse_keep_alive_timeout(const header_list& headers)
 {
@@ -190,7 +191,8 @@
 
 head_action client_connection::on_response_head(message_head& head)
 {
-    if (head.status < 200) {
+    interim_ = head.status < first_final_status;
+    if (interim_) {
         return head_action::skip;
     }
     reusable_ = head.keep_alive;
@@ -226,7 +228,8 @@
             complete_response();
             return;
         }
-        if (++skipped_ > max_skipped) {
+        skipped_ += interim_ ? 0 : 1;
+        if (skipped_ > max_skipped) {
             fail(connection_loss::malformed);
             return;
         }
--- a/tests/auto/http/client_connection_test.cpp
+++ b/tests/auto/http/client_connection_test.cpp
@@ -157,3 +157,37 @@
     CHECK(received == "no");
     CHECK_FALSE(lost);
 }
+
+// Guards against a response that is given up since its server sent many interim ones while it was
+// at work.
+TEST_CASE("client connection: interim responses do not end a request")
+{
+    constexpr int interim_responses = 100;
+    event_loop loop;
+    testing::raw_server server{loop};
+    client_connection connection{loop, {.address = server.address()}};
+    std::optional<connection_loss> lost;
+    int status = 0;
+    server.on_received = [&] {
+        for (int i = 0; i < interim_responses; ++i) {
+            server.send("HTTP/1.1 102 Processing\r\n\r\n");
+        }
+        server.send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    };
+    connection.send("GET / HTTP/1.1\r\n\r\n", "", true,
+                    {.may_send = [] { return true; },
+                     .on_head =
+                         [&](message_head& head) {
+                             status = head.status;
+                             return head_action::accept;
+                         },
+                     .on_end = [&](bool) { loop.stop(); },
+                     .on_lost =
+                         [&](connection_loss how) {
+                             lost = how;
+                             loop.stop();
+                         }});
+    loop.run();
+    CHECK(status == 200);
+    CHECK_FALSE(lost);
+}
