--- a/src/libs/http/client_connection.cpp
+++ b/src/libs/http/client_connection.cpp
@@ -4,6 +4,7 @@
 #include "quincewing/net/endpoint.hpp"
 #include "quincewing/net/reset_on_close.hpp"
 
+#include <algorithm>
 #include <cerrno>
 #include <cstdlib>
 #include <event2/buffer.h>
@@ -16,8 +17,9 @@
 
 namespace {
 
-// Interim responses, and late ones to earlier requests, before the response to the request.
+// Late responses to earlier requests, before the response to the request.
 constexpr std::size_t max_skipped = 32;
+constexpr int first_final_status = 200;
 
 duration parse_keep_alive_timeout(const header_list& headers)
 {
@@ -167,13 +169,30 @@
     if (bev_ == nullptr) {
         return;
     }
+    written_at_ = monotonic_now();
     bufferevent_write(bev_, pending_.data(), pending_.size());
     pending_.clear();
 }
 
+// A server that takes bytes slowly acknowledges the probes of its closed window.
+duration client_connection::silence() const
+{
+    if (bev_ == nullptr || !sent_) {
+        return duration{0};
+    }
+    tcp_info info{};
+    socklen_t n = sizeof info;
+    if (getsockopt(bufferevent_getfd(bev_), IPPROTO_TCP, TCP_INFO, &info, &n) != 0 ||
+        info.tcpi_unacked == 0) {
+        return duration{0};
+    }
+    return std::min<duration>(millis{info.tcpi_last_ack_recv}, monotonic_now() - written_at_);
+}
+
 head_action client_connection::on_response_head(message_head& head)
 {
-    if (head.status < 200) {
+    interim_ = head.status < first_final_status;
+    if (interim_) {
         return head_action::skip;
     }
     reusable_ = head.keep_alive;
@@ -209,7 +228,8 @@
             complete_response();
             return;
         }
-        if (++skipped_ > max_skipped) {
+        skipped_ += interim_ ? 0 : 1;
+        if (skipped_ > max_skipped) {
             fail(connection_loss::malformed);
             return;
         }
--- /dev/null
+++ b/tests/auto/entry/server_end_test.cpp
@@ -0,0 +1,182 @@
+#include "raw_caller.hpp"
+#include "raw_server.hpp"
+#include "small_deployment.hpp"
+
+#include "quincewing/entry/entry_host.hpp"
+#include "quincewing/net/endpoint.hpp"
+
+#include <arpa/inet.h>
+#include <doctest/doctest.h>
+#include <functional>
+#include <memory>
+#include <string>
+#include <sys/socket.h>
+#include <unistd.h>
+
+using namespace quincewing;
+using namespace quincewing::testing;
+
+namespace {
+
+constexpr millis begin_after{500};
+
+/// An entry host whose one server is a raw server.
+class server_end_run
+{
+public:
+    explicit server_end_run(small_deployment_options options,
+                            raw_server_options server_options = {})
+        : deployment_(loop, options), server(loop, server_options),
+          host_(loop, deployment_.settings(), api())
+    {
+    }
+
+    /// Starts the host, calls begin and runs for this long.
+    void run(duration time, const std::function<void()>& begin)
+    {
+        REQUIRE(host_.start().empty());
+        timer begin_timer{loop, begin};
+        begin_timer.once(begin_after);
+        timer end{loop, [&] { loop.stop(); }};
+        end.once(begin_after + time);
+        loop.run();
+    }
+
+    [[nodiscard]] std::string callers() const { return deployment_.settings().callers; }
+
+    event_loop loop;
+
+private:
+    [[nodiscard]] deployment_api api()
+    {
+        auto out = deployment_.api();
+        const auto decode = out.decode_server;
+        out.decode_server = [this, decode](const store_record& record) {
+            auto it = decode(record);
+            it->address = server.address();
+            return it;
+        };
+        return out;
+    }
+
+    small_deployment deployment_;
+
+public:
+    raw_server server;
+
+private:
+    entry_host host_;
+};
+
+std::string request_with_body(const std::string& id, const std::string& body)
+{
+    return "POST /x HTTP/1.1\r\nHost: desk.example\r\nX-Request: " + id +
+           "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+/// A caller that closes its connection at once.
+void send_and_leave(const std::string& address, const std::string& bytes)
+{
+    const auto to = parse_endpoint(address);
+    const int fd = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in at{};
+    at.sin_family = AF_INET;
+    at.sin_port = htons(to.port);
+    inet_pton(AF_INET, to.ip.c_str(), &at.sin_addr);
+    REQUIRE(connect(fd, reinterpret_cast<sockaddr*>(&at), sizeof at) == 0);
+    CHECK(send(fd, bytes.data(), bytes.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(bytes.size()));
+    close(fd);
+}
+
+} // namespace
+
+// Guards against a request that is given up at its server since the server was silent for 600 ms.
+TEST_CASE("entry server end: a request that can't be repeated outlasts its server's silence")
+{
+    server_end_run it{{}, {.receive_buffer = 2048, .reading = false}};
+    const std::string body(14'000, '.');
+    timer read_on{it.loop, [&] { it.server.set_reading(true); }};
+    it.server.on_accepted = [&] { read_on.once(millis{1500}); };
+    it.server.on_received = [&] {
+        if (it.server.received().ends_with(body)) {
+            it.server.send(response_to("a", "ok"));
+        }
+    };
+    std::unique_ptr<raw_caller> caller;
+    it.run(millis{3000}, [&] {
+        caller = std::make_unique<raw_caller>(it.loop, it.callers());
+        caller->send(request_with_body("a", body));
+    });
+    CHECK_MESSAGE(caller->statuses() == "200", caller->received());
+}
+
+// Guards against a request that its server gets although the caller left before it was sent.
+TEST_CASE("entry server end: a request is not sent after its caller has left")
+{
+    server_end_run it{{}};
+    it.run(millis{500}, [&] { send_and_leave(it.callers(), post_request("a")); });
+    CHECK(it.server.received().empty());
+}
+
+// Guards against pipelined requests that are dropped at their server since the answer before theirs
+// breaks off.
+TEST_CASE("entry server end: a response that breaks off leaves those behind it at the server")
+{
+    server_end_run it{{.retry = retry_policy::idempotent}};
+    const auto whole = response_to("a", std::string(200'000, '.'));
+    timer break_off{it.loop, [&] { it.server.send_and_close(whole.substr(0, 180'000), 0); }};
+    timer respond{it.loop, [&] { it.server.send(response_to("b", "ok"), 1); }};
+    std::unique_ptr<raw_caller> caller;
+    it.run(millis{2000}, [&] {
+        caller = std::make_unique<raw_caller>(it.loop, it.callers());
+        caller->send(post_request("a") + post_request("b"));
+        break_off.once(millis{200});
+        respond.once(millis{500});
+    });
+    CHECK_MESSAGE(caller->statuses() == "502 200", caller->statuses());
+}
+
+// Guards against a pipelined request that is sent to a server behind an answer that is too long to
+// be held, and dropped there when that answer breaks off.
+TEST_CASE("entry server end: no request is sent behind a response that may break off")
+{
+    server_end_run it{{.retry = retry_policy::idempotent}};
+    const auto whole = response_to("a", std::string(2'000'000, '.'));
+    std::unique_ptr<raw_caller> caller;
+    timer begin{it.loop, [&] { it.server.send(whole.substr(0, 1'000'000), 0); }};
+    timer pipeline{it.loop, [&] { caller->send(post_request("b")); }};
+    timer break_off{it.loop, [&] { it.server.send_and_close("", 0); }};
+    it.run(millis{1000}, [&] {
+        caller = std::make_unique<raw_caller>(it.loop, it.callers());
+        caller->send(post_request("a"));
+        begin.once(millis{100});
+        pipeline.once(millis{300});
+        break_off.once(millis{500});
+    });
+    CHECK(it.server.received().find("X-Request: b") == std::string::npos);
+    CHECK(caller->closed());
+}
+
+// Guards against a pipelined request that waits for good behind one that was answered in full.
+TEST_CASE("entry server end: a request behind a long response is sent when that has ended")
+{
+    server_end_run it{{.retry = retry_policy::idempotent}};
+    const auto whole = response_to("a", std::string(2'000'000, '.'));
+    std::unique_ptr<raw_caller> caller;
+    timer begin{it.loop, [&] { it.server.send(whole.substr(0, 1'000'000), 0); }};
+    timer pipeline{it.loop, [&] { caller->send(post_request("b")); }};
+    timer end{it.loop, [&] { it.server.send(whole.substr(1'000'000), 0); }};
+    it.server.on_received = [&] {
+        if (it.server.received().find("X-Request: b") != std::string::npos) {
+            it.server.send(response_to("b", "ok"), 0);
+        }
+    };
+    it.run(millis{1500}, [&] {
+        caller = std::make_unique<raw_caller>(it.loop, it.callers());
+        caller->send(post_request("a"));
+        begin.once(millis{100});
+        pipeline.once(millis{300});
+        end.once(millis{500});
+    });
+    CHECK_MESSAGE(caller->statuses() == "200 200", caller->statuses());
+}
