Host mode: a stop counts from its signal, whatever the loop's delay

Callers saw: of a host that was late for its SIGTERM (6 s until SIGKILL), a request at a server had no answer before the kill; and a request sent 3.2 s after the signal was begun and given up at the end with 504.

Cause: every step counted from the moment at which libevent's evsignal ran in the loop, and a flag that a tick sets decided whether a request may begin, up to five sixths of the stop, however long it might last. A signal between the listening and the handler ended the process.

Evidence, on with these tests: "a stop whose loop is late ends after the time that it has" (SIGSTOP, SIGTERM, SIGCONT 450 ms later): REQUIRE( answers.size() == 1 ), 0 == 1 "a stop begins a request that may outlast it": CHECK( status == 503 ), 504 == 503; CHECK( runs_of(...) == 0 ), 1 == 0 The first had no answer 6 s after the signal: the end came 5.7 s after SIGCONT.

Now quincewing::stop_signals notes the signal's time in its handler, which is set before anything listens. Whether a request, a retry, a hand-over or a dispatch may begin is asked of the clock. In the second half of the stop a request begins only if its deadline ends before the stop does, so that nothing sent late is given up by the stop; short ones are served as before.

The signal during the start has no test of its own.

--- a/include/quincewing/host/host_task.hpp
+++ b/include/quincewing/host/host_task.hpp
@@ -40,7 +40,7 @@
     /// Appends an operator's record.
     void append(record_body body) { platform_.append(std::move(body)); }
     /// Hands over and finishes what is in flight; done is called when every request has its answer.
-    void stop(std::function<void()> done);
+    void stop(const stop_signal& signal, std::function<void()> done);
     /// Ends a stop that has begun: what is open is answered at once.
     void stop_now();
 
@@ -77,6 +77,8 @@
     void advance_stop(instant now);
     void refuse_waiting(instant now);
     void refuse_stopping(const exchange_ptr& it);
+    /// Whether the request may be sent to a server or another host at this time.
+    [[nodiscard]] bool may_begin(const exchange& it, instant at) const;
     void answer_all();
     [[nodiscard]] bool may_have_run(const exchange& it) const;
 
@@ -129,7 +131,7 @@
     std::minstd_rand random_;
     std::uint64_t last_request_{};
     std::optional<stop_schedule> stop_;
-    /// The stop is so far on that no request is begun any more.
+    /// What waited for a server has been refused.
     bool refusing_{};
     std::function<void()> stopped_;
 };
--- a/src/app/serve.cpp
+++ b/src/app/serve.cpp
@@ -4,10 +4,10 @@
 
 #include "quincewing/callers/callers_task.hpp"
 #include "quincewing/host/host_task.hpp"
+#include "quincewing/net/stop_signals.hpp"
 #include "quincewing/operators/operators_task.hpp"
 
 #include <csignal>
-#include <event2/event.h>
 #include <glog/logging.h>
 #include <iostream>
 #include <memory>
@@ -54,39 +54,28 @@
 }
 
 /// Stops the host gracefully at the first signal, and with no wait for servers at the second.
-class stop_signals
+class graceful_stop
 {
 public:
-    stop_signals(event_loop& loop, host_task& host, callers_task& callers,
-                 operators_task& operators)
+    graceful_stop(event_loop& loop, host_task& host, callers_task& callers,
+                  operators_task& operators)
         : loop_(loop), host_(host), callers_(callers), operators_(operators),
-          last_answers_(loop, [this] { look(); })
+          last_answers_(loop, [this] { look(); }),
+          signals_(loop, [this](const stop_signal& it) { on_signal(it); })
     {
-        const auto call = [](evutil_socket_t, short, void* arg) {
-            static_cast<stop_signals*>(arg)->on_signal();
-        };
-        term_ = evsignal_new(loop.base(), SIGTERM, call, this);
-        interrupt_ = evsignal_new(loop.base(), SIGINT, call, this);
-        event_add(term_, nullptr);
-        event_add(interrupt_, nullptr);
     }
-    ~stop_signals()
-    {
-        event_free(term_);
-        event_free(interrupt_);
-    }
-    stop_signals(const stop_signals&) = delete;
-    stop_signals& operator=(const stop_signals&) = delete;
 
 private:
-    void on_signal()
+    void on_signal(const stop_signal& signal)
     {
         if (host_.stopping()) {
             host_.stop_now();
             return;
         }
-        LOG(INFO) << "change=stopping about=" << host_.core().options().self.value;
-        host_.stop([this] {
+        const auto late = std::chrono::duration_cast<millis>(monotonic_now() - signal.sent_after);
+        LOG(INFO) << "change=stopping about=" << host_.core().options().self.value
+                  << " late_ms=" << late.count();
+        host_.stop(signal, [this] {
             callers_.close();
             operators_.close();
             messages_until_ = monotonic_now() + time_for_last_messages;
@@ -110,8 +99,7 @@
     operators_task& operators_;
     timer last_answers_;
     instant messages_until_{};
-    event* term_{};
-    event* interrupt_{};
+    stop_signals signals_;
 };
 
 } // namespace
@@ -146,13 +134,14 @@
     host_task host{loop, *settings, self};
     callers_task callers{loop, host};
     operators_task operators{loop, host};
+    // Before the first request can come: a signal during the start must not end the process.
+    graceful_stop stop{loop, host, callers, operators};
     const bool listening = host.start() && callers.start() && operators.start();
     if (!listening) {
         LOG(ERROR) << "change=cannot_listen about=" << settings->address << " or "
                    << settings->callers << " or " << settings->operators;
         return cannot_listen;
     }
-    stop_signals signals{loop, host, callers, operators};
     LOG(INFO) << "change=started about=" << self.value << " data_centre=" << settings->data_centre
               << " callers=" << settings->callers << " operators=" << settings->operators;
     loop.run();
--- a/src/plugins/host/host_task.cpp
+++ b/src/plugins/host/host_task.cpp
@@ -157,6 +157,11 @@
             core_.finished(monotonic_now(), it.id, {.verdict = verdict::not_run}, effects_);
             continue;
         }
+        if (!may_begin(*found->second, monotonic_now())) {
+            core_.finished(monotonic_now(), it.id, {.verdict = verdict::not_run}, effects_);
+            refuse_stopping(found->second);
+            continue;
+        }
         running_[it.id] = found->second;
         found->second->handed_over = true;
         pool->send(found->second, it.fence);
--- a/src/plugins/host/host_task_requests.cpp
+++ b/src/plugins/host/host_task_requests.cpp
@@ -31,7 +31,7 @@
     it->started_at = monotonic_now();
     open_[it->id] = it;
     watch_answer(it);
-    if (refusing_) {
+    if (!may_begin(*it, it->started_at)) {
         refuse_stopping(it);
         return;
     }
@@ -88,6 +88,10 @@
     if (it->ended) {
         return;
     }
+    if (!may_begin(*it, monotonic_now())) {
+        refuse_stopping(it);
+        return;
+    }
     ++it->attempts;
     if (!choose_route(it)) {
         answer(it, {.why = refusal::shard_unavailable, .retry_after = no_route_retry_after});
@@ -200,7 +204,7 @@
 
 bool host_task::try_again(const exchange_ptr& it, const response_head& head)
 {
-    if (refusing_ || it->from_peer || it->head_sent || head.verdict != verdict::not_run ||
+    if (it->from_peer || it->head_sent || head.verdict != verdict::not_run ||
         !may_be_elsewhere(head.why)) {
         return false;
     }
@@ -211,7 +215,8 @@
     // Not worth waiting for a server that comes back after the deadline.
     const bool in_time =
         now + std::max(pause, head.retry_after) + least_time_left < it->request.deadline;
-    if (!in_time || it->attempts >= most_attempts || now - it->started_at > route_again_within) {
+    if (!in_time || !may_begin(*it, now + pause) || it->attempts >= most_attempts ||
+        now - it->started_at > route_again_within) {
         return false;
     }
     it->handed_over = false;
--- a/src/plugins/host/host_task_stop.cpp
+++ b/src/plugins/host/host_task_stop.cpp
@@ -12,10 +12,10 @@
 
 } // namespace
 
-void host_task::stop(std::function<void()> done)
+void host_task::stop(const stop_signal& signal, std::function<void()> done)
 {
     const auto now = monotonic_now();
-    stop_ = make_stop_schedule(now, settings_.stop_within, settings_.stop_notice);
+    stop_ = make_stop_schedule(signal, settings_.stop_within, settings_.stop_notice);
     stopped_ = std::move(done);
     core_.leave(now, effects_);
     work_timer_.soon();
@@ -34,6 +34,19 @@
     return stop_ && (refusing_ || monotonic_now() > stop_->noticed_at);
 }
 
+// Asks the clock, as a tick may be late. What is read in the second half of the stop is begun only
+// if nothing but its deadline could end it.
+bool host_task::may_begin(const exchange& it, instant at) const
+{
+    if (!stop_) {
+        return true;
+    }
+    if (refusing_ || at >= stop_->refuse_at) {
+        return false;
+    }
+    return it.started_at < stop_->begin_until || it.request.deadline <= stop_->answer_all_at;
+}
+
 void host_task::advance_stop(instant now)
 {
     if (!stop_ || !stopped_) {
--- a/tests/failures/stop_test.cpp
+++ b/tests/failures/stop_test.cpp
@@ -265,3 +265,48 @@
     }
     CHECK(served == 20);
 }
+
+// Each step counted from the moment at which the loop learned of the signal.
+TEST_CASE("failure: a stop whose loop is late ends after the time that it has")
+{
+    constexpr millis late{450};
+    constexpr millis kill_after{6000};
+    process_fleet fleet{one_host("6s")};
+    REQUIRE(fleet.wait_served());
+    raw_caller caller{fleet.callers(0)};
+    const auto begun = std::chrono::steady_clock::now();
+    fleet.host(0).signal(SIGSTOP);
+    fleet.host(0).signal(SIGTERM);
+    pause_for(late);
+    fleet.host(0).signal(SIGCONT);
+    pause_for(millis{1550});
+    REQUIRE(caller.get(work_of("boat1", millis{4900})));
+    const auto left = begun + kill_after - std::chrono::steady_clock::now();
+    const auto answers = caller.read(1, std::chrono::duration_cast<millis>(left));
+    fleet.host(0).signal(SIGKILL);
+    REQUIRE(answers.size() == 1);
+    CHECK(answers.front().status == 504);
+}
+
+// Any request was begun until shortly before the end, and then given up.
+TEST_CASE("failure: a stop begins a request that may outlast it")
+{
+    process_fleet fleet{one_host("6s")};
+    REQUIRE(fleet.wait_served());
+    raw_caller slow{fleet.callers(0)};
+    raw_caller brief{fleet.callers(0)};
+    fleet.host(0).signal(SIGTERM);
+    pause_for(millis{3200});
+    REQUIRE(slow.get(work_of("boat1", millis{4000})));
+    auto answers = slow.read(1, longest_wait);
+    REQUIRE(answers.size() == 1);
+    CHECK(answers.front().status == 503);
+    CHECK(answers.front().says("Retry-After: "));
+    CHECK(runs_of(fleet, "/boats/boat1/state") == 0);
+    // One that ends before the stop does is served.
+    REQUIRE(brief.send("GET " + work_of("boat2", millis{20}) +
+                       " HTTP/1.1\r\nHost: test\r\nQuincewing-Deadline-Ms: 1000\r\n\r\n"));
+    answers = brief.read(1, longest_wait);
+    REQUIRE(answers.size() == 1);
+    CHECK(answers.front().status == 200);
+}
