Host mode: a server at work for long is not taken for a lost connection

Callers saw: a read that its server works on for longer than some 0.3 s ended with 504 "unknown", though the server was in good health and the deadline far, on a host that stops and on one that does not.

Cause: a request that is late on a kept connection had a new connection tried. If that one answered, the late one was closed and the request sent again; the second time, or without retry budget, this host answered in the server's place. A server that works for long looks the same as a connection that something in between has lost track of.

Now the request is sent on a new connection as well, once and within the retry budget, and the first head of an answer decides; the other connection is closed only then. Without budget or room the first one is left alone. A retry goes on a new connection, as another kept one may be lost too. A read on a connection that was lost track of is still answered within two seconds (a second test).

--- a/include/quincewing/backends/backend_pool.hpp
+++ b/include/quincewing/backends/backend_pool.hpp
@@ -66,12 +66,21 @@
     void start(const waiting& it);
     backend_connection* pick(instant now, bool idempotent);
     void pump();
+    /// A new connection, for which an idle one may be closed. nullptr when there is no room.
+    backend_connection* open_connection();
+    /// The other connection that has the same request; nullptr when there is none.
+    backend_connection* twin_of(const backend_connection& it) const;
+    /// The first of two connections with one request got an answer.
+    void on_head(backend_connection& from);
     /// A connection ended: with its answer, or broken.
     void on_answered(backend_connection& from);
     void on_broken(backend_connection& from);
     void finish_broken(const waiting& it, bool handed, bool crashed);
+    void abort_running(backend_connection& it);
     void drop(backend_connection& it);
     void check_silent(backend_connection& it);
+    /// Sends the request of a late connection on a new one as well.
+    void send_twice(backend_connection& late);
     void probe(std::function<void(bool answered, bool refused)> done);
 
     event_loop& loop_;
--- a/src/plugins/backends/backend_connection.cpp
+++ b/src/plugins/backends/backend_connection.cpp
@@ -124,8 +124,12 @@
     for (const auto& [key, value] : head.headers) {
         result_.response.headers[key] = value;
     }
+    if (aborted) {
+        return;
+    }
+    pool_.on_head(*this);
     auto& it = *current_.it;
-    if (!aborted && it.on_head) {
+    if (it.on_head) {
         auto* bev = evhttp_connection_get_bufferevent(connection_);
         it.resume = [bev] { bufferevent_enable(bev, EV_READ); };
         it.on_head(head);
@@ -173,7 +177,9 @@
     if (self.freeing_) {
         return;
     }
-    self.current_.it->resume = nullptr;
+    if (!self.aborted) {
+        self.current_.it->resume = nullptr;
+    }
     const bool whole = request != nullptr && evhttp_request_get_response_code(request) != 0;
     if (!whole || !self.head_received_) {
         self.pool_.on_broken(self);
--- a/src/plugins/backends/backend_connection.hpp
+++ b/src/plugins/backends/backend_connection.hpp
@@ -29,6 +29,7 @@
     [[nodiscard]] bool handed() const { return handed_; }
     [[nodiscard]] bool head_received() const { return head_received_; }
     [[nodiscard]] backend_pool::waiting& current() { return current_; }
+    [[nodiscard]] const backend_pool::waiting& current() const { return current_; }
     [[nodiscard]] const request_result& result() const { return result_; }
 
     bool checking{};
--- a/src/plugins/backends/backend_pool.cpp
+++ b/src/plugins/backends/backend_pool.cpp
@@ -65,23 +65,50 @@
 void backend_pool::start(const waiting& it)
 {
     const auto now = monotonic_now();
-    auto* connection = pick(now, it.it->request.idempotent);
-    if (connection == nullptr && connections_.size() >= options_.max_connections) {
-        // Room for a new one is made by closing an idle one that is too old for this request.
+    // A kept connection may have been lost track of like the one that failed.
+    auto* connection = it.retried ? nullptr : pick(now, it.it->request.idempotent);
+    if (connection == nullptr) {
+        connection = open_connection();
+    }
+    if (connection == nullptr) {
+        waiting_.push_back(it);
+        return;
+    }
+    connection->send(it, now);
+}
+
+backend_connection* backend_pool::open_connection()
+{
+    if (connections_.size() >= options_.max_connections) {
         const auto idle = std::find_if(connections_.begin(), connections_.end(),
-                                       [](const auto& c) { return !c->busy(); });
+                                       [](const auto& it) { return !it->busy(); });
         if (idle == connections_.end()) {
-            waiting_.push_back(it);
-            return;
+            return nullptr;
         }
         drop(**idle);
     }
-    if (connection == nullptr) {
-        connections_.push_back(std::make_unique<backend_connection>(loop_, *this, address_));
-        connection = connections_.back().get();
-        ++counts_.connections_opened;
+    connections_.push_back(std::make_unique<backend_connection>(loop_, *this, address_));
+    ++counts_.connections_opened;
+    return connections_.back().get();
+}
+
+backend_connection* backend_pool::twin_of(const backend_connection& it) const
+{
+    const auto found = std::find_if(connections_.begin(), connections_.end(), [&](const auto& c) {
+        return c.get() != &it && c->busy() && c->current().it == it.current().it;
+    });
+    return found == connections_.end() ? nullptr : found->get();
+}
+
+void backend_pool::on_head(backend_connection& from)
+{
+    auto* twin = twin_of(from);
+    if (twin == nullptr) {
+        return;
     }
-    connection->send(it, now);
+    counts_.connections_silent += twin->checked ? 1 : 0;
+    twin->aborted = true;
+    drop(*twin);
 }
 
 void backend_pool::pump()
@@ -104,11 +131,17 @@
     budget_.on_success();
     const auto it = from.current();
     const auto result = from.result();
+    const bool other_runs = twin_of(from) != nullptr;
     from.current() = {};
     if (from.aborted) {
         ++counts_.late_answers;
         return;
     }
+    if (other_runs) {
+        // The server did not take the second one.
+        pump();
+        return;
+    }
     if (result.verdict == verdict::ran && it.it->on_end) {
         it.it->on_end(true);
     }
@@ -123,10 +156,15 @@
     const bool handed = from.handed();
     const bool aborted = from.aborted;
     const bool head = from.head_received();
+    const bool other_runs = twin_of(from) != nullptr;
     drop(from);
     if (aborted) {
         return;
     }
+    if (other_runs) {
+        pump();
+        return;
+    }
     if (head) {
         if (it.it->on_end) {
             it.it->on_end(false);
@@ -173,17 +211,11 @@
 
 void backend_pool::abort(request_id id)
 {
-    for (const auto& it : connections_) {
-        if (!it->busy() || it->current().it == nullptr || it->current().it->id != id) {
-            continue;
-        }
-        const auto exchange = it->current().it;
-        const bool handed = it->handed();
-        it->aborted = true;
-        exchange->resume = nullptr;
-        drop(*it);
-        done_(exchange, {.verdict = handed ? verdict::unknown : verdict::not_run});
-        pump();
+    const auto running =
+        std::find_if(connections_.begin(), connections_.end(),
+                     [&](const auto& it) { return it->busy() && it->current().it->id == id; });
+    if (running != connections_.end()) {
+        abort_running(**running);
         return;
     }
     const auto found = std::find_if(waiting_.begin(), waiting_.end(),
@@ -195,6 +227,22 @@
     }
 }
 
+void backend_pool::abort_running(backend_connection& it)
+{
+    const auto exchange = it.current().it;
+    auto* twin = twin_of(it);
+    const bool handed = it.handed() || (twin != nullptr && twin->handed());
+    exchange->resume = nullptr;
+    it.aborted = true;
+    drop(it);
+    if (twin != nullptr) {
+        twin->aborted = true;
+        drop(*twin);
+    }
+    done_(exchange, {.verdict = handed ? verdict::unknown : verdict::not_run});
+    pump();
+}
+
 void backend_pool::probe(std::function<void(bool, bool)> done)
 {
     http_request request{
@@ -230,8 +278,8 @@
     });
 }
 
-// A late request may be on a connection that something in between has lost track of. When a new
-// connection answers and this one does not, it is given up.
+// A late request may be on a connection that something in between has lost track of, or its server
+// may be at work on it. When a new connection answers, the request is sent on one as well.
 void backend_pool::check_silent(backend_connection& it)
 {
     it.checking = true;
@@ -246,18 +294,28 @@
         }
         connection->checking = false;
         connection->checked = true;
-        if (!answered || connection->head_received()) {
-            return;
+        if (answered && !connection->head_received()) {
+            send_twice(*connection);
         }
-        ++counts_.connections_silent;
-        const auto late = connection->current();
-        const bool handed = connection->handed();
-        connection->aborted = true;
-        drop(*connection);
-        finish_broken(late, handed, false);
     });
 }
 
+void backend_pool::send_twice(backend_connection& late)
+{
+    const auto now = monotonic_now();
+    auto& current = late.current();
+    if (now >= current.it->request.deadline || !budget_.try_spend()) {
+        return;
+    }
+    auto* other = open_connection();
+    if (other == nullptr) {
+        return;
+    }
+    ++counts_.retries;
+    current.retried = true;
+    other->send(current, now);
+}
+
 void backend_pool::sweep(instant now)
 {
     std::vector<backend_connection*> old;
@@ -269,10 +327,9 @@
             continue;
         }
         const bool late = now - it->sent_at() > options_.late && !it->head_received();
-        // A new connection cannot be silent by having been forgotten, and a run that must not be
-        // repeated gains nothing from giving its connection up.
-        if (late && it->used() && it->current().it->request.idempotent && !it->checking &&
-            !it->checked) {
+        // A new connection cannot be silent by having been forgotten.
+        const bool may_repeat = it->current().it->request.idempotent && !it->current().retried;
+        if (late && it->used() && may_repeat && !it->checking && !it->checked) {
             check_silent(*it);
         }
     }
--- a/tests/failures/stop_test.cpp
+++ b/tests/failures/stop_test.cpp
@@ -310,3 +310,40 @@
     REQUIRE(answers.size() == 1);
     CHECK(answers.front().status == 200);
 }
+
+// The host took a server that works for long for a connection that was lost track of.
+TEST_CASE("failure: requests that last long are broken off since their server is silent")
+{
+    process_fleet fleet{{.hosts_each = 1, .servers_each = 1}};
+    REQUIRE(fleet.wait_served());
+    constexpr std::size_t callers = 3;
+    std::vector<raw_caller> open;
+    open.reserve(callers);
+    // Every connection to the server has answered once.
+    for (std::size_t i = 0; i < callers; ++i) {
+        open.emplace_back(fleet.callers(0));
+        REQUIRE(open[i].get(work_of("warm" + std::to_string(i), millis{100})));
+    }
+    for (auto& it : open) {
+        REQUIRE(it.read(1, longest_wait).size() == 1);
+    }
+    REQUIRE(open[0].get(work_of("long", millis{1500})));
+    const auto answers = open[0].read(1, longest_wait);
+    REQUIRE(answers.size() == 1);
+    CHECK(answers.front().status == 200);
+}
+
+// A connection that is kept beside a second try must not hold the request up.
+TEST_CASE("failure: a read on a connection that was lost track of has no answer")
+{
+    process_fleet fleet{{.hosts_each = 1, .servers_each = 1, .server_relays = true}};
+    REQUIRE(fleet.wait_served());
+    raw_caller caller{fleet.callers(0)};
+    REQUIRE(caller.get(work_of("warm", millis{20})));
+    REQUIRE(caller.read(1, longest_wait).size() == 1);
+    fleet.control_server_relay(0, "silence_open=1");
+    REQUIRE(caller.get(work_of("boat1", millis{20})));
+    const auto answers = caller.read(1, millis{2000});
+    REQUIRE(answers.size() == 1);
+    CHECK(answers.front().status == 200);
+}
