Host mode: a planned move waits for the runs of its shards

Callers saw: of a service whose requests may last up to 10 s (the default of max_deadline), requests of 7 s with a deadline of 9 s ended with 504 while their server was at work, when an operator retired that server.

Cause: a shard that drains aborted its runs after the smaller of 5 s and max_deadline. No caller, server, deadline or stop asked for that.

Evidence, on the parent with this test, "a server is retired and requests at which it is at work are given up": CHECK( status == 200 ), 504 == 200, for 7 of 8 requests. With max_deadline 5s the two bounds are one, which is why the fleets of the tests never showed it.

Now the bound is max_deadline, by which every run has reached its own deadline. A move waits longer only if a run does last longer.

A caller that ends only its sending side gets its whole answer, small and large, as before (a test that was green at once).

--- a/src/plugins/host/host_options_of.cpp
+++ b/src/plugins/host/host_options_of.cpp
@@ -1,7 +1,5 @@
 #include "host_options_of.hpp"
 
-#include <algorithm>
-
 namespace quincewing {
 
 namespace {
@@ -24,7 +22,8 @@
     out.renew_interval = service.grant_lease / 4;
     out.server_patience = service.server_patience;
     out.max_request_time = service.max_deadline;
-    out.drain_timeout = std::min<duration>(out.drain_timeout, service.max_deadline);
+    // Until then every run has reached its own deadline.
+    out.drain_timeout = service.max_deadline;
     return out;
 }
 
--- a/tests/failures/process_fleet.cpp
+++ b/tests/failures/process_fleet.cpp
@@ -237,8 +237,8 @@
     out << "[platform]\naddress = "
         << at("127.0.0.1", port(layout_.relays ? platform_relays_at + data_centre : platform_at))
         << "\nappends_per_second = 20\n[pair]\nisolation_hold = " << layout_.isolation_hold
-        << "\n[service boats]\nkeyed = true\nshards = 24\nmax_deadline = 5s\ndeadline = "
-        << layout_.deadline << "\nslots = " << layout_.slots
+        << "\n[service boats]\nkeyed = true\nshards = 24\nmax_deadline = " << layout_.max_deadline
+        << "\ndeadline = " << layout_.deadline << "\nslots = " << layout_.slots
         << "\nchecks_fences = " << (layout_.checks_fences ? "true" : "false") << "\n";
     const int server_port = layout_.server_relays ? server_relays_at : servers_at;
     for (int i = 0; i < servers(); ++i) {
--- a/tests/failures/process_fleet.hpp
+++ b/tests/failures/process_fleet.hpp
@@ -47,6 +47,7 @@
     bool server_relays{false};
     std::string isolation_hold{"600s"};
     std::string deadline{"2s"};
+    std::string max_deadline{"5s"};
     std::string stop_within{"10s"};
     /// Where the first server is that the test runs itself; empty for a stand-in.
     std::string server_at;
--- a/tests/failures/raw_caller.cpp
+++ b/tests/failures/raw_caller.cpp
@@ -101,6 +101,11 @@
     return true;
 }
 
+void raw_caller::end_sending() const
+{
+    shutdown(fd_, SHUT_WR);
+}
+
 void raw_caller::reset()
 {
     const linger at_once{.l_onoff = 1, .l_linger = 0};
--- a/tests/failures/raw_caller.hpp
+++ b/tests/failures/raw_caller.hpp
@@ -41,6 +41,8 @@
     std::vector<raw_answer> read(std::size_t count, millis most);
     /// Reads at least this many bytes and leaves them unparsed; false when the connection ends.
     bool skip(std::size_t bytes);
+    /// Ends the sending side only.
+    void end_sending() const;
     /// Ends the connection with a reset.
     void reset();
     /// The other side has ended the connection; seen by a read.
--- a/tests/failures/stop_test.cpp
+++ b/tests/failures/stop_test.cpp
@@ -347,3 +347,57 @@
     REQUIRE(answers.size() == 1);
     CHECK(answers.front().status == 200);
 }
+
+// A move of shards broke runs off after 5 s, whatever the deadlines of its service.
+TEST_CASE("failure: a server is retired and requests at which it is at work are given up")
+{
+    process_fleet fleet{{.hosts_each = 1, .servers_each = 2, .slots = 16, .max_deadline = "10s"}};
+    REQUIRE(fleet.wait_served());
+    constexpr int callers = 8;
+    std::vector<raw_caller> open;
+    open.reserve(callers);
+    for (int i = 0; i < callers; ++i) {
+        open.emplace_back(fleet.callers(0));
+        REQUIRE(open.back().send("GET " + work_of("boat" + std::to_string(i), millis{7000}) +
+                                 " HTTP/1.1\r\nHost: test\r\n"
+                                 "Quincewing-Deadline-Ms: 9000\r\n\r\n"));
+    }
+    pause_for(millis{200});
+    const auto plan = http_call_and_wait({.method = "POST",
+                                          .address = fleet.operators(0),
+                                          .path = "/plan",
+                                          .body = R"({"intent":"retire","server":"s0"})"});
+    REQUIRE_MESSAGE(plan.status == 200, plan.body);
+    const auto confirmed = http_call_and_wait({.method = "POST",
+                                               .address = fleet.operators(0),
+                                               .path = "/confirm",
+                                               .body = plan.body,
+                                               .timeout = seconds{5}});
+    REQUIRE_MESSAGE(confirmed.status == 200, confirmed.body);
+    for (auto& it : open) {
+        const auto answers = it.read(1, millis{9000});
+        REQUIRE(answers.size() == 1);
+        CHECK(answers.front().status == 200);
+    }
+}
+
+// Guards against an end of the caller's sending side that is taken for the end of its connection.
+TEST_CASE("failure: a caller that ends its sending side only gets no answer")
+{
+    process_fleet fleet{one_host("6s")};
+    REQUIRE(fleet.wait_served());
+    raw_caller small{fleet.callers(0)};
+    REQUIRE(small.get(work_of("boat1", millis{300})));
+    small.end_sending();
+    const auto answers = small.read(1, longest_wait);
+    REQUIRE(answers.size() == 1);
+    CHECK(answers.front().status == 200);
+    constexpr std::size_t size = 200'000;
+    raw_caller large{fleet.callers(0), true};
+    REQUIRE(large.get("/boats/boat1/state?us=300000&size=" + std::to_string(size)));
+    large.end_sending();
+    pause_for(millis{1000});
+    const auto whole = large.read(1, longest_wait);
+    REQUIRE(whole.size() == 1);
+    CHECK(whole.front().body.size() == size);
+}
