--- a/tests/failures/stop_test.cpp
+++ b/tests/failures/stop_test.cpp
@@ -265,3 +265,139 @@
     }
     CHECK(served == 20);
 }
+
+// Each step counted from the moment at which the loop learned of the signal.
+TEST_CASE("failure: a stop whose loop is late ends after the time that it has")
+{
+    constexpr millis late{450};
+    constexpr millis kill_after{6000};
+    process_fleet fleet{one_host("6s")};
+    REQUIRE(fleet.wait_served());
+    raw_caller caller{fleet.callers(0)};
+    const auto begun = std::chrono::steady_clock::now();
+    fleet.host(0).signal(SIGSTOP);
+    fleet.host(0).signal(SIGTERM);
+    pause_for(late);
+    fleet.host(0).signal(SIGCONT);
+    pause_for(millis{1550});
+    REQUIRE(caller.get(work_of("boat1", millis{4900})));
+    const auto left = begun + kill_after - std::chrono::steady_clock::now();
+    const auto answers = caller.read(1, std::chrono::duration_cast<millis>(left));
+    fleet.host(0).signal(SIGKILL);
+    REQUIRE(answers.size() == 1);
+    CHECK(answers.front().status == 504);
+}
+
+// Any request was begun until shortly before the end, and then given up.
+TEST_CASE("failure: a stop begins a request that may outlast it")
+{
+    process_fleet fleet{one_host("6s")};
+    REQUIRE(fleet.wait_served());
+    raw_caller slow{fleet.callers(0)};
+    raw_caller brief{fleet.callers(0)};
+    fleet.host(0).signal(SIGTERM);
+    pause_for(millis{3200});
+    REQUIRE(slow.get(work_of("boat1", millis{4000})));
+    auto answers = slow.read(1, longest_wait);
+    REQUIRE(answers.size() == 1);
+    CHECK(answers.front().status == 503);
+    CHECK(answers.front().says("Retry-After: "));
+    CHECK(runs_of(fleet, "/boats/boat1/state") == 0);
+    // One that ends before the stop does is served.
+    REQUIRE(brief.send("GET " + work_of("boat2", millis{20}) +
+                       " HTTP/1.1\r\nHost: test\r\nQuincewing-Deadline-Ms: 1000\r\n\r\n"));
+    answers = brief.read(1, longest_wait);
+    REQUIRE(answers.size() == 1);
+    CHECK(answers.front().status == 200);
+}
+
+// The host took a server that works for long for a connection that was lost track of.
+TEST_CASE("failure: requests that last long are broken off since their server is silent")
+{
+    process_fleet fleet{{.hosts_each = 1, .servers_each = 1}};
+    REQUIRE(fleet.wait_served());
+    constexpr std::size_t callers = 3;
+    std::vector<raw_caller> open;
+    open.reserve(callers);
+    // Every connection to the server has answered once.
+    for (std::size_t i = 0; i < callers; ++i) {
+        open.emplace_back(fleet.callers(0));
+        REQUIRE(open[i].get(work_of("warm" + std::to_string(i), millis{100})));
+    }
+    for (auto& it : open) {
+        REQUIRE(it.read(1, longest_wait).size() == 1);
+    }
+    REQUIRE(open[0].get(work_of("long", millis{1500})));
+    const auto answers = open[0].read(1, longest_wait);
+    REQUIRE(answers.size() == 1);
+    CHECK(answers.front().status == 200);
+}
+
+// A connection that is kept beside a second try must not hold the request up.
+TEST_CASE("failure: a read on a connection that was lost track of has no answer")
+{
+    process_fleet fleet{{.hosts_each = 1, .servers_each = 1, .server_relays = true}};
+    REQUIRE(fleet.wait_served());
+    raw_caller caller{fleet.callers(0)};
+    REQUIRE(caller.get(work_of("warm", millis{20})));
+    REQUIRE(caller.read(1, longest_wait).size() == 1);
+    fleet.control_server_relay(0, "silence_open=1");
+    REQUIRE(caller.get(work_of("boat1", millis{20})));
+    const auto answers = caller.read(1, millis{2000});
+    REQUIRE(answers.size() == 1);
+    CHECK(answers.front().status == 200);
+}
+
+// A move of shards broke runs off after 5 s, whatever the deadlines of its service.
+TEST_CASE("failure: a server is retired and requests at which it is at work are given up")
+{
+    process_fleet fleet{{.hosts_each = 1, .servers_each = 2, .slots = 16, .max_deadline = "10s"}};
+    REQUIRE(fleet.wait_served());
+    constexpr int callers = 8;
+    std::vector<raw_caller> open;
+    open.reserve(callers);
+    for (int i = 0; i < callers; ++i) {
+        open.emplace_back(fleet.callers(0));
+        REQUIRE(open.back().send("GET " + work_of("boat" + std::to_string(i), millis{7000}) +
+                                 " HTTP/1.1\r\nHost: test\r\n"
+                                 "Quincewing-Deadline-Ms: 9000\r\n\r\n"));
+    }
+    pause_for(millis{200});
+    const auto plan = http_call_and_wait({.method = "POST",
+                                          .address = fleet.operators(0),
+                                          .path = "/plan",
+                                          .body = R"({"intent":"retire","server":"s0"})"});
+    REQUIRE_MESSAGE(plan.status == 200, plan.body);
+    const auto confirmed = http_call_and_wait({.method = "POST",
+                                               .address = fleet.operators(0),
+                                               .path = "/confirm",
+                                               .body = plan.body,
+                                               .timeout = seconds{5}});
+    REQUIRE_MESSAGE(confirmed.status == 200, confirmed.body);
+    for (auto& it : open) {
+        const auto answers = it.read(1, millis{9000});
+        REQUIRE(answers.size() == 1);
+        CHECK(answers.front().status == 200);
+    }
+}
+
+// Guards against an end of the caller's sending side that is taken for the end of its connection.
+TEST_CASE("failure: a caller that ends its sending side only gets no answer")
+{
+    process_fleet fleet{one_host("6s")};
+    REQUIRE(fleet.wait_served());
+    raw_caller small{fleet.callers(0)};
+    REQUIRE(small.get(work_of("boat1", millis{300})));
+    small.end_sending();
+    const auto answers = small.read(1, longest_wait);
+    REQUIRE(answers.size() == 1);
+    CHECK(answers.front().status == 200);
+    constexpr std::size_t size = 200'000;
+    raw_caller large{fleet.callers(0), true};
+    REQUIRE(large.get("/boats/boat1/state?us=300000&size=" + std::to_string(size)));
+    large.end_sending();
+    pause_for(millis{1000});
+    const auto whole = large.read(1, longest_wait);
+    REQUIRE(whole.size() == 1);
+    CHECK(whole.front().body.size() == size);
+}
