Stop of an entry host: an end that fits a late loop and lets answers leave

What callers saw: on a late loop what servers had not answered was answered near the kill or after it. A caller that read slowly had its answer cut though there was time left, and a process ended while the system still held an answer (with its network namespace, that is lost).

Cause: the end was taken by a tick, whatever the loop's delay, and the process ended 150 ms later, whatever was in buffers. A connection whose caller still read was closed two seconds after its answer was written.

Fix: a timer at an exact time answers the rest, earlier by twice the largest delay of a tick in the last second (the timer is late, and so is the turn that writes the answers), but not before the last sixth. Answers that have begun go on. The process ends when callers have acknowledged all answers (SIOCOUTQ), and 150 ms for messages to other hosts have passed, or else 60 ms and that delay before the kill.

Tests: the stop's harness ends the loop with the stop, as serve_entry does now; it had added 150 ms.

--- a/include/quincewing/entry/entry_host.hpp
+++ b/include/quincewing/entry/entry_host.hpp
@@ -25,9 +25,10 @@
     /// string on success.
     std::string start();
     /// Shuts down gracefully: reports not ready to the load balancer, lets open requests finish,
-    /// then calls done.
+    /// then calls done. The process may end at once then: the answers have left it, or it is about
+    /// to be killed.
     void stop(const stop_signal& signal, std::function<void()> done);
-    /// Bytes of answers that have not left the process yet.
+    /// Bytes of answers that have not left this machine's buffers yet.
     [[nodiscard]] std::size_t unsent_bytes() const;
 
 private:
--- a/src/app/serve_entry.cpp
+++ b/src/app/serve_entry.cpp
@@ -17,8 +17,6 @@
 
 constexpr int bad_settings = 2;
 constexpr int cannot_listen = 3;
-// Answers that were given leave the socket's buffer in this time.
-constexpr millis time_for_last_answers{150};
 
 settings_file load_file(const std::string& path)
 {
@@ -101,10 +99,7 @@
         log_event("cannot_listen", {{"address", failed}});
         return cannot_listen;
     }
-    timer last_answers{loop, [&] { loop.stop(); }};
-    stop_signals stop{loop, [&](const stop_signal& it) {
-                          host.stop(it, [&] { last_answers.once(time_for_last_answers); });
-                      }};
+    stop_signals stop{loop, [&](const stop_signal& it) { host.stop(it, [&] { loop.stop(); }); }};
     reload_signal reload{loop, [&] { on_reload(line.settings); }};
     loop.run();
     log_event("exit", {{"unsent_bytes", host.unsent_bytes()}});
--- a/src/plugins/entry/caller_connection.cpp
+++ b/src/plugins/entry/caller_connection.cpp
@@ -3,6 +3,7 @@
 #include "http_status.hpp"
 
 #include "quincewing/net/reset_on_close.hpp"
+#include "quincewing/net/socket_bytes.hpp"
 
 #include <algorithm>
 #include <event2/buffer.h>
@@ -220,6 +221,11 @@
     return n;
 }
 
+std::size_t caller_connection::unsent_bytes() const
+{
+    return bev_ == nullptr ? 0 : buffered_bytes() + unacknowledged_bytes(bufferevent_getfd(bev_));
+}
+
 // A stopping host closes the connection after the last request that it has started, and reads no
 // further ones. Callers send again what stands behind a response that closes the connection. When
 // the response to the last one has begun, it is too late to say so there.
@@ -300,7 +306,10 @@
 // request would make the system reset the connection and drop what is left of the response.
 void caller_connection::finish_sending()
 {
-    if (!linger_) {
+    // The process may end before the system has sent what is in its buffer.
+    const bool wait_for_caller = linger_ || (hooks_.stopping && hooks_.stopping() &&
+                                             unacknowledged_bytes(bufferevent_getfd(bev_)) > 0);
+    if (!wait_for_caller || reset_on_close_) {
         close();
         return;
     }
@@ -315,7 +324,8 @@
 bool caller_connection::idle() const
 {
     return exchanges_.empty() && !reader_.inside_message() &&
-           evbuffer_get_length(bufferevent_get_output(bev_)) == 0;
+           evbuffer_get_length(bufferevent_get_output(bev_)) == 0 &&
+           unacknowledged_bytes(bufferevent_getfd(bev_)) == 0;
 }
 
 void caller_connection::close_if_idle(instant now, duration idle_for)
@@ -331,7 +341,10 @@
         return;
     }
     if (sending_finished_at_) {
-        if (now - *sending_finished_at_ > linger_timeout) {
+        const bool sent = unacknowledged_bytes(bufferevent_getfd(bev_)) == 0;
+        const bool stopping = hooks_.stopping && hooks_.stopping();
+        const bool overdue = now - *sending_finished_at_ > linger_timeout;
+        if ((sent && !linger_) || (overdue && (sent || !stopping))) {
             close();
         }
         return;
--- a/src/plugins/entry/caller_connection.hpp
+++ b/src/plugins/entry/caller_connection.hpp
@@ -58,6 +58,8 @@
     void check_timeouts(instant now);
     /// Bytes of responses that have not left the process yet.
     [[nodiscard]] std::size_t buffered_bytes() const;
+    /// The same, and those in the system's buffer that the caller has not acknowledged.
+    [[nodiscard]] std::size_t unsent_bytes() const;
 
 private:
     friend class caller_exchange;
--- a/src/plugins/entry/caller_listener.cpp
+++ b/src/plugins/entry/caller_listener.cpp
@@ -115,15 +115,23 @@
     }
 }
 
-std::size_t caller_listener::buffered_bytes() const
+std::size_t caller_listener::unsent_bytes() const
 {
     std::size_t n = 0;
     for (const auto& [key, it] : connections_) {
-        n += it->buffered_bytes();
+        n += it->unsent_bytes();
     }
     return n;
 }
 
+bool caller_listener::all_sent() const
+{
+    const bool answered =
+        std::all_of(flows_.begin(), flows_.end(), [](const auto& it) { return it->ended(); });
+    return answered && std::all_of(connections_.begin(), connections_.end(),
+                                   [](const auto& it) { return it.second->unsent_bytes() == 0; });
+}
+
 void caller_listener::remove_ended_flows()
 {
     std::erase_if(flows_, [](const auto& it) { return it->ended(); });
@@ -149,20 +157,34 @@
     }
 }
 
-void caller_listener::answer_unfinished()
+std::size_t caller_listener::give_up_if(const std::function<bool(const request_flow&)>& wanted)
 {
     std::size_t n = 0;
     const auto flows = flows_;
     for (const auto& it : flows) {
-        if (!it->ended()) {
+        if (!it->ended() && wanted(*it)) {
             ++n;
             it->log_unfinished();
             it->give_up();
         }
     }
+    return n;
+}
+
+void caller_listener::answer_unfinished()
+{
+    const auto n = give_up_if([](const request_flow& it) { return !it.answer_begun(); });
     log_event("stop_overdue", {{"requests", n}, {"connections", connections_.size()}});
 }
 
+void caller_listener::cut_answers()
+{
+    const auto n = give_up_if([](const request_flow&) { return true; });
+    if (n > 0) {
+        log_event("answers_cut", {{"requests", n}});
+    }
+}
+
 void caller_listener::tick(instant now)
 {
     remove_ended_flows();
--- a/src/plugins/entry/caller_listener.hpp
+++ b/src/plugins/entry/caller_listener.hpp
@@ -3,6 +3,7 @@
 #include "caller_connection.hpp"
 #include "request_flow.hpp"
 
+#include <functional>
 #include <memory>
 #include <set>
 #include <unordered_map>
@@ -36,14 +37,19 @@
     [[nodiscard]] bool may_start_requests() const { return monotonic_now() < last_start_; }
     /// Stops listening, and refuses the requests that are not at a server.
     void refuse_unsent_requests();
-    /// Answers all requests that are being handled, and logs them: the process is about to end.
+    /// Answers all requests that are being handled, and logs them: the process ends soon. Answers
+    /// that have begun go on.
     void answer_unfinished();
+    /// Logs the requests whose answers are not complete, and ends them: the process ends now.
+    void cut_answers();
     /// No request is being handled and no connection is open.
     [[nodiscard]] bool idle() const { return flows_.empty() && connections_.empty(); }
     void tick(instant now);
     [[nodiscard]] std::size_t connections() const { return connections_.size(); }
-    /// Bytes of responses that have not left the process yet.
-    [[nodiscard]] std::size_t buffered_bytes() const;
+    /// Bytes of responses that have not left this machine's buffers yet.
+    [[nodiscard]] std::size_t unsent_bytes() const;
+    /// All responses are complete, and callers have received them.
+    [[nodiscard]] bool all_sent() const;
     /// Arrival of the last request that was started.
     [[nodiscard]] instant last_started() const { return last_started_; }
 
@@ -54,6 +60,8 @@
     [[nodiscard]] bool may_run_concurrently(const message_head& head) const;
     void remove_connection(caller_connection* it);
     void remove_ended_flows();
+    /// Gives up the requests for which this holds. Returns their number.
+    std::size_t give_up_if(const std::function<bool(const request_flow&)>& wanted);
 
     host_context context_;
     flow_services& services_;
--- a/src/plugins/entry/entry_host.cpp
+++ b/src/plugins/entry/entry_host.cpp
@@ -7,6 +7,7 @@
 #include "crash_exchange.hpp"
 #include "dispatch_task.hpp"
 #include "host_announcer.hpp"
+#include "loop_delays.hpp"
 #include "reach_task.hpp"
 #include "request_relay.hpp"
 #include "server_connections.hpp"
@@ -30,6 +31,10 @@
 
 constexpr millis tick_period{50};
 constexpr seconds log_period{1};
+// How often a host that ends looks whether its answers have left it.
+constexpr millis sent_look_period{20};
+// Messages to other hosts leave the socket's buffer in this time.
+constexpr millis time_for_last_messages{150};
 // Hosts that are out of reach for less keep their part of the retry budget, and are found again.
 constexpr seconds forget_host_after{600};
 
@@ -53,6 +58,10 @@
     void log_store_calls();
     void tick();
     void continue_shutdown(instant now);
+    /// Answers the rest and ends the stop, each when it is time.
+    void look_for_end();
+    [[nodiscard]] bool nothing_open() const;
+    void end_stop(bool whole);
     void log_stop(bool whole) const;
     /// How requests ended since the stop began.
     void log_ends();
@@ -85,6 +94,8 @@
     status_server status;
     timer tick_timer;
     timer refusal_timer;
+    timer end_timer;
+    loop_delays delays;
     instant started{monotonic_now()};
     instant next_log_tick{};
     instant last_tick{};
@@ -194,7 +205,8 @@
           },
           [this] { return conditions.describe(); }),
       tick_timer(loop, [this] { tick(); }),
-      refusal_timer(loop, [this] { listener.refuse_unsent_requests(); })
+      refusal_timer(loop, [this] { listener.refuse_unsent_requests(); }),
+      end_timer(loop, [this] { look_for_end(); })
 {
     platform.store = store_calls.wrap(std::move(platform.store));
 }
@@ -285,7 +297,9 @@
 void entry_host::tasks::tick()
 {
     const auto now = monotonic_now();
-    stop_notes.note_tick(now - std::exchange(last_tick, now) - tick_period);
+    const auto late = now - std::exchange(last_tick, now) - tick_period;
+    delays.note(now, late);
+    stop_notes.note_tick(late);
     announcer.tick(now);
     follower.tick(now);
     configuration.tick(now);
@@ -335,19 +349,53 @@
     if (now >= stop_steps.close_idle) {
         listener.close_idle_connections();
     }
-    if (now < stop_steps.refuse_unsent) {
+    if (now >= stop_steps.refuse_unsent) {
+        look_for_end();
+    }
+}
+
+bool entry_host::tasks::nothing_open() const
+{
+    return listener.idle() && relays.idle() && coordination.stopped() && record_removed;
+}
+
+void entry_host::tasks::look_for_end()
+{
+    if (!on_stopped) {
         return;
     }
-    const bool overdue = now >= stop_steps.answer_rest;
-    const bool done = listener.idle() && relays.idle() && coordination.stopped() && record_removed;
-    if ((done || overdue) && on_stopped) {
-        if (!done) {
-            listener.answer_unfinished();
-        }
-        log_stop(done);
-        log_ends();
-        std::exchange(on_stopped, nullptr)();
+    const auto now = monotonic_now();
+    const auto late = delays.largest();
+    const auto answer_rest = answer_rest_at(stop_steps, late);
+    const auto end = end_at(stop_steps, late);
+    const bool whole = !stop_notes.rest_answered && nothing_open();
+    if (!whole && !stop_notes.rest_answered && now >= answer_rest) {
+        stop_notes.rest_answered = true;
+        listener.answer_unfinished();
+        // Answers are written in the next turn of the loop.
+        end_timer.once(sent_look_period);
+        return;
+    }
+    const bool over = whole || stop_notes.rest_answered;
+    if (!over || !listener.all_sent()) {
+        stop_notes.all_sent_at.reset();
+    } else if (!stop_notes.all_sent_at) {
+        stop_notes.all_sent_at = now;
+    }
+    const auto& sent_at = stop_notes.all_sent_at;
+    if (now >= end || (sent_at && now - *sent_at >= time_for_last_messages)) {
+        end_stop(whole);
+        return;
     }
+    end_timer.once(over ? duration{sent_look_period} : answer_rest - now);
+}
+
+void entry_host::tasks::end_stop(bool whole)
+{
+    listener.cut_answers();
+    log_stop(whole);
+    log_ends();
+    std::exchange(on_stopped, nullptr)();
 }
 
 entry_host::entry_host(event_loop& loop, entry_settings settings, deployment_api platform)
@@ -381,7 +429,7 @@
 
 std::size_t entry_host::unsent_bytes() const
 {
-    return tasks_->listener.buffered_bytes();
+    return tasks_->listener.unsent_bytes();
 }
 
 void entry_host::stop(const stop_signal& signal, std::function<void()> done)
@@ -401,6 +449,7 @@
                            {"received", now - signal.received_at}});
     it.listener.set_stopping();
     it.listener.set_last_start(it.stop_steps.refuse_unsent);
+    it.end_timer.once(std::max(it.stop_steps.answer_rest - now, duration{0}));
     it.refusal_timer.once(std::max(it.stop_steps.refuse_unsent - now, duration{0}));
     it.coordination.stop(now);
     it.dispatch.on_host_leaving(it.self);
--- a/src/plugins/entry/request_flow.hpp
+++ b/src/plugins/entry/request_flow.hpp
@@ -36,6 +36,11 @@
     /// The server wants nothing more from this host for a time.
     void on_server_rests(const server_id& server);
     [[nodiscard]] bool ended() const { return ended_; }
+    /// The caller is getting an answer.
+    [[nodiscard]] bool answer_begun() const
+    {
+        return exchange_->begun() && !exchange_->disconnected();
+    }
     /// It has no slot at a server: it waits for one, or for an owner of its key.
     [[nodiscard]] bool waiting() const;
     /// Refuses a request that is not at a server, since this host is about to end.
--- a/src/plugins/entry/stop_record.hpp
+++ b/src/plugins/entry/stop_record.hpp
@@ -3,15 +3,20 @@
 #include "quincewing/net/stop_signals.hpp"
 
 #include <algorithm>
+#include <optional>
 
 namespace quincewing {
 
-/// What a host notes of its stop, for the log.
+/// What a host notes of its stop.
 struct stop_record
 {
     stop_signal signal;
     /// Largest delay of a tick since the stop began.
     duration tick_delay{};
+    /// What servers had not answered was answered.
+    bool rest_answered{};
+    /// Since then all answers have left the process.
+    std::optional<instant> all_sent_at;
 
     void note_tick(duration late) { tick_delay = std::max(tick_delay, late); }
 };
--- a/tests/auto/deployment/entry_stop_schedule_test.cpp
+++ b/tests/auto/deployment/entry_stop_schedule_test.cpp
@@ -66,3 +66,26 @@
     });
     CHECK(good);
 }
+
+// Guards against answers of the end that a late loop writes after the kill.
+TEST_CASE("entry stop schedule: a late loop answers and ends earlier, within the last sixth")
+{
+    const bool good = rc::check([] {
+        const duration grace = millis{*rc::gen::inRange(0, 60'000)};
+        const duration late = millis{*rc::gen::inRange(0, 1'000)};
+        const auto it = schedule_from_some_time(grace);
+        const auto last_sixth = some_time + grace - grace / 6;
+        RC_ASSERT(answer_rest_at(it, late) == std::max(it.answer_rest - 2 * late, last_sixth));
+        RC_ASSERT(answer_rest_at(it, late) <= end_at(it, late));
+        RC_ASSERT(end_at(it, late) <= end_at(it, duration{0}));
+        RC_ASSERT(end_at(it, duration{0}) == it.end);
+        RC_ASSERT(it.end <= some_time + grace);
+    });
+    CHECK(good);
+    constexpr seconds grace{6};
+    constexpr millis late{200};
+    const auto it = schedule_from_some_time(grace);
+    // The end is a turn late, and so is the answers' way out.
+    CHECK(answer_rest_at(it, late) + 2 * late < some_time + grace);
+    CHECK(end_at(it, late) + late < some_time + grace);
+}
--- a/tests/auto/entry/entry_late_stop_test.cpp
+++ b/tests/auto/entry/entry_late_stop_test.cpp
@@ -57,3 +57,67 @@
     CHECK(served.status() == "200");
     check_refused(it, late, "late");
 }
+
+// Guards against answers of the end that a late loop sends after the process is killed.
+TEST_CASE("entry stop: a host whose loop is late answers all before the grace period ends")
+{
+    constexpr int callers = 6;
+    for (const auto turn : {millis{200}, millis{300}}) {
+        late_stop_run it{{.service_time = longer_than_grace, .route_timeout = seconds{30}}};
+        std::vector<thread_caller*> all;
+        for (int i = 0; i < callers; ++i) {
+            all.push_back(&it.add_caller(
+                {.bytes = post_request("r" + std::to_string(i)), .send_after = millis{1000}}));
+        }
+        it.slow_down(turn);
+        it.run();
+        for (const auto* caller : all) {
+            check_answered_at_end(it, *caller);
+        }
+        CHECK(it.ended_after() > duration{0});
+    }
+}
+
+// Guards against answers that are cut at the end although there is time left to send them.
+TEST_CASE("entry stop: a caller that reads slowly gets its answer until just before the kill")
+{
+    constexpr std::size_t answer_bytes = 12'000'000;
+    constexpr millis shortly_before_kill{130};
+    // The host holds all of the answer, or reads it from the server while the caller does.
+    for (const auto buffer : {2 * answer_bytes, std::size_t{256} * 1024}) {
+        late_stop_run it{{.service_time = millis{30},
+                          .answer_bytes = answer_bytes,
+                          .route_timeout = seconds{30},
+                          .answer_buffer = buffer}};
+        auto& slow = it.add_caller({.bytes = post_request("slow"),
+                                    .send_after = millis{-200},
+                                    .bytes_per_second = 1'000'000,
+                                    .receive_buffer = 64 * 1024});
+        it.run();
+        CHECK(slow.status() == "200");
+        CHECK(it.ended_after() >= grace - shortly_before_kill);
+        CHECK(it.ended_after() < grace);
+        CHECK(slow.received_by(it.signal() + it.ended_after()) >
+              slow.received_by(it.signal() + grace - 2 * shortly_before_kill));
+    }
+}
+
+// Guards against a process that ends while the system still sends an answer, and against one that
+// waits for the kill though all answers have been received.
+TEST_CASE("entry stop: it ends soon after the last answer has left the system's buffers")
+{
+    constexpr std::size_t answer_bytes = 400'000;
+    constexpr millis look_late{50};
+    constexpr millis soon{350};
+    late_stop_run it{{.service_time = millis{1'900}, .answer_bytes = answer_bytes}};
+    // It takes 3 s, longer than a connection is kept for a caller that has got its answer.
+    auto& last = it.add_caller({.bytes = post_request("last"),
+                                .send_after = millis{0},
+                                .bytes_per_second = answer_bytes / 3,
+                                .receive_buffer = 16 * 1024});
+    it.run();
+    CHECK(last.status() == "200");
+    CHECK(last.received().size() > answer_bytes);
+    CHECK(it.ended_after() > last.last_byte_at() - it.signal() - look_late);
+    CHECK(it.ended_after() < last.last_byte_at() - it.signal() + soon);
+}
--- a/tests/auto/entry/entry_stop_test.cpp
+++ b/tests/auto/entry/entry_stop_test.cpp
@@ -19,8 +19,6 @@
 
 constexpr millis begin_after{500};
 constexpr millis stop_after{700};
-// Time that the process lives on after the stop, until its socket buffers are sent.
-constexpr millis exit_after_stop{150};
 
 /// An entry host that is stopped while these callers' requests are unanswered.
 class stop_run
@@ -45,11 +43,10 @@
         REQUIRE(host_.start().empty());
         timer begin_timer{loop_, begin};
         begin_timer.once(begin_after);
-        timer exit{loop_, [&] { loop_.stop(); }};
         timer stop{loop_, [&] {
                        host_.stop(stop_signal_now(), [&] {
                            stopped_ = true;
-                           exit.once(exit_after_stop);
+                           loop_.stop();
                        });
                    }};
         stop.once(stop_after);
--- a/tests/auto/entry/late_stop_run.cpp
+++ b/tests/auto/entry/late_stop_run.cpp
@@ -9,8 +9,6 @@
 
 constexpr seconds start_before_signal{1};
 constexpr millis slow_before_signal{400};
-// Time that the process lives on after the stop, until its socket buffers are sent.
-constexpr millis exit_after_stop{150};
 
 void sleep_until(instant it)
 {
@@ -36,7 +34,7 @@
                               .connect_at = signal_ + it.connect_after,
                               .send_at = signal_ + it.send_after,
                               .end_at = signal_ + deployment_.settings().bounds.grace,
-                              .read_bytes = it.read_bytes,
+                              .bytes_per_second = it.bytes_per_second,
                               .receive_buffer = it.receive_buffer}));
     return *callers_.back();
 }
@@ -60,14 +58,12 @@
 void late_stop_run::run(duration learns_after)
 {
     REQUIRE(host_.start().empty());
-    timer exit{loop_, [&] {
-                   ended_after_ = monotonic_now() - signal_;
-                   loop_.stop();
-               }};
     timer stop{loop_, [&] {
                    sleep_until(signal_ + learns_after);
-                   host_.stop({.sent_after = signal_, .received_at = signal_},
-                              [&] { exit.once(exit_after_stop); });
+                   host_.stop({.sent_after = signal_, .received_at = signal_}, [&] {
+                       ended_after_ = monotonic_now() - signal_;
+                       loop_.stop();
+                   });
                }};
     stop.once(signal_ - monotonic_now());
     timer kill{loop_, [&] { loop_.stop(); }};
--- a/tests/auto/entry/late_stop_run.hpp
+++ b/tests/auto/entry/late_stop_run.hpp
@@ -18,7 +18,7 @@
     duration connect_after{};
     duration send_after{};
     /// See thread_caller_options.
-    std::size_t read_bytes{};
+    std::size_t bytes_per_second{};
     int receive_buffer{};
 };
 
--- a/tests/auto/entry/thread_caller.cpp
+++ b/tests/auto/entry/thread_caller.cpp
@@ -71,14 +71,19 @@
 
 void thread_caller::read_all(int fd)
 {
-    std::string buf(options_.read_bytes == 0 ? most_at_once : options_.read_bytes, '\0');
+    std::string buf(most_at_once, '\0');
     while (monotonic_now() < options_.end_at) {
+        const auto n_wanted = allowed_bytes();
+        if (n_wanted == 0) {
+            std::this_thread::sleep_for(millis{2});
+            continue;
+        }
         pollfd wait{.fd = fd, .events = POLLIN, .revents = 0};
         constexpr int poll_ms = 5;
         if (poll(&wait, 1, poll_ms) <= 0) {
             continue;
         }
-        const auto n = recv(fd, buf.data(), buf.size(), 0);
+        const auto n = recv(fd, buf.data(), n_wanted, 0);
         if (n <= 0) {
             broken_ = n < 0;
             return;
@@ -87,12 +92,21 @@
         answered_at_ = received_.empty() ? now : answered_at_;
         received_.append(buf.data(), static_cast<std::size_t>(n));
         arrivals_.push_back({.at = now, .total = received_.size()});
-        if (options_.read_bytes != 0) {
-            std::this_thread::sleep_for(options_.read_period);
-        }
     }
 }
 
+// The first bytes start the time that the rest takes.
+std::size_t thread_caller::allowed_bytes() const
+{
+    constexpr std::size_t us_per_s = 1'000'000;
+    if (options_.bytes_per_second == 0 || received_.empty()) {
+        return options_.bytes_per_second == 0 ? most_at_once : 1;
+    }
+    const auto since = static_cast<std::size_t>((monotonic_now() - answered_at_).count());
+    const auto allowed = 1 + options_.bytes_per_second * since / us_per_s;
+    return std::min(most_at_once, allowed - std::min(allowed, received_.size()));
+}
+
 std::string thread_caller::status() const
 {
     constexpr std::size_t status_at = 9;
--- a/tests/auto/entry/thread_caller.hpp
+++ b/tests/auto/entry/thread_caller.hpp
@@ -19,9 +19,8 @@
     instant send_at{};
     /// It gives up then.
     instant end_at{};
-    /// It reads this much in each period; 0: all that there is.
-    std::size_t read_bytes{};
-    duration read_period{millis{2}};
+    /// It reads no faster; 0: as fast as it can.
+    std::size_t bytes_per_second{};
     /// Size of the socket's receive buffer; 0: the system's.
     int receive_buffer{};
 };
@@ -58,6 +57,7 @@
 
     void run();
     void read_all(int fd);
+    [[nodiscard]] std::size_t allowed_bytes() const;
 
     thread_caller_options options_;
     std::string received_;
