Stop of an entry host: a connection with unread bytes is not idle

What callers saw: on a late loop a stopping host reset connections on which a request had just come.

Cause: close_if_idle knew only what the loop had read. Bytes that come while a turn of the loop runs are read in the next one, after the tick that closes.

Evidence: the new test sends while the loop is blocked, with a tick at the end of the turn.

Fix: the socket is asked for unread bytes (FIONREAD) before an idle close.

--- a/include/quincewing/net/socket_bytes.hpp
+++ b/include/quincewing/net/socket_bytes.hpp
@@ -8,4 +8,7 @@
 /// system does not tell.
 std::size_t unacknowledged_bytes(int fd);
 
+/// Bytes that came on the socket and were not read yet; 0 if the system does not tell.
+std::size_t unread_bytes(int fd);
+
 } // namespace quincewing
--- a/src/libs/net/socket_bytes.cpp
+++ b/src/libs/net/socket_bytes.cpp
@@ -5,10 +5,24 @@
 
 namespace quincewing {
 
-std::size_t unacknowledged_bytes(int fd)
+namespace {
+
+std::size_t ask(int fd, unsigned long what)
 {
     int n = 0;
-    return ioctl(fd, SIOCOUTQ, &n) == 0 && n > 0 ? static_cast<std::size_t>(n) : 0;
+    return ioctl(fd, what, &n) == 0 && n > 0 ? static_cast<std::size_t>(n) : 0;
+}
+
+} // namespace
+
+std::size_t unacknowledged_bytes(int fd)
+{
+    return ask(fd, SIOCOUTQ);
+}
+
+std::size_t unread_bytes(int fd)
+{
+    return ask(fd, FIONREAD);
 }
 
 } // namespace quincewing
--- a/src/plugins/entry/caller_connection.cpp
+++ b/src/plugins/entry/caller_connection.cpp
@@ -330,7 +330,11 @@
 
 void caller_connection::close_if_idle(instant now, duration idle_for)
 {
-    if (bev_ != nullptr && !sending_finished_at_ && idle() && now - idle_since_ > idle_for) {
+    if (bev_ == nullptr || sending_finished_at_ || !idle() || now - idle_since_ <= idle_for) {
+        return;
+    }
+    // On a late loop a request may have come that is read in the next turn.
+    if (unread_bytes(bufferevent_getfd(bev_)) == 0) {
         close();
     }
 }
--- a/tests/auto/entry/entry_late_stop_test.cpp
+++ b/tests/auto/entry/entry_late_stop_test.cpp
@@ -121,3 +121,24 @@
     CHECK(it.ended_after() > last.last_byte_at() - it.signal() - look_late);
     CHECK(it.ended_after() < last.last_byte_at() - it.signal() + soon);
 }
+
+// Guards against connections that are closed as idle while a request waits unread for a late loop.
+TEST_CASE("entry stop: a connection on which a request waits unread is not idle")
+{
+    constexpr millis connect_after{2400};
+    late_stop_run it{{.service_time = millis{30}}};
+    std::vector<thread_caller*> all;
+    for (const auto after : {millis{2740}, millis{2760}, millis{2780}, millis{2800}}) {
+        all.push_back(&it.add_caller({.bytes = post_request("r" + std::to_string(after.count())),
+                                      .connect_after = connect_after,
+                                      .send_after = after}));
+    }
+    // The second block and the tick after it, which closes idle connections, are in one turn.
+    it.block(millis{2660}, millis{2720});
+    it.block(millis{2661}, millis{2850});
+    it.run();
+    for (const auto* caller : all) {
+        const bool answered = caller->status() == "200" || caller->status() == "503";
+        CHECK_MESSAGE(answered, caller->received(), " broken ", caller->broken());
+    }
+}
