Host mode: a server that is silent for 50 s keeps its request

Callers saw: of a service with max_deadline 60s, a request of 51 s with a deadline of 58 s ended with 504 after 50 s, while its server was at work.

Cause: a connection to a server was left with the read timeout that the HTTP library sets by itself (50 s without a byte). Deadlines may be as long as 600 s.

Evidence, on the parent with this test, "a request is given up since its server is silent for 50 s": CHECK( answers.front().status == 200 ), 504 == 200.

Now the timeout of a connection is max_deadline and 10 s, so that the deadline decides first.

--- a/include/quincewing/backends/backend_options.hpp
+++ b/include/quincewing/backends/backend_options.hpp
@@ -17,6 +17,8 @@
     /// A request without an answer for this long has its connection checked.
     duration late{millis{250}};
     duration connect_timeout{millis{500}};
+    /// Longest silence of a server with a request. Longer than any deadline.
+    duration response_timeout{seconds{60}};
     /// Time within which a grant, revocation or probe must be answered.
     duration command_timeout{millis{500}};
     /// Largest answer that is kept for repeats.
--- a/src/plugins/backends/backend_connection.cpp
+++ b/src/plugins/backends/backend_connection.cpp
@@ -45,6 +45,9 @@
     auto* bev = bufferevent_socket_new(loop.base(), -1, BEV_OPT_CLOSE_ON_FREE);
     connection_ =
         evhttp_connection_base_bufferevent_new(loop.base(), nullptr, bev, to.ip.c_str(), to.port);
+    // Without it the library breaks the connection off after a time of its own.
+    const auto tv = to_timeval(pool.options_.response_timeout);
+    evhttp_connection_set_timeout_tv(connection_, &tv);
     evbuffer_add_cb(bufferevent_get_output(bev), on_written, this);
 }
 
--- a/src/plugins/host/host_task.cpp
+++ b/src/plugins/host/host_task.cpp
@@ -13,6 +13,8 @@
 
 constexpr millis tick_every{20};
 constexpr millis sweep_every{10};
+// The deadlines decide first.
+constexpr seconds after_deadline{10};
 
 } // namespace
 
@@ -193,6 +195,7 @@
     backend_options options{.fresh = settings_.limits.fresh_connection};
     if (settings != nullptr) {
         options.max_connections = settings->connections;
+        options.response_timeout = settings->max_deadline + after_deadline;
     }
     auto& pool = pools_[server];
     pool = std::make_unique<backend_pool>(
--- a/tests/failures/stop_test.cpp
+++ b/tests/failures/stop_test.cpp
@@ -401,3 +401,17 @@
     REQUIRE(whole.size() == 1);
     CHECK(whole.front().body.size() == size);
 }
+
+// The library broke a connection off on which nothing was heard for 50 s.
+TEST_CASE("failure: a request is given up since its server is silent for 50 s")
+{
+    process_fleet fleet{{.hosts_each = 1, .servers_each = 1, .max_deadline = "60s"}};
+    REQUIRE(fleet.wait_served());
+    raw_caller caller{fleet.callers(0)};
+    REQUIRE(caller.send("POST " + work_of("boat1", millis{51'000}) +
+                        " HTTP/1.1\r\nHost: test\r\nContent-Length: 0\r\n"
+                        "Quincewing-Deadline-Ms: 58000\r\n\r\n"));
+    const auto answers = caller.read(1, millis{57'000});
+    REQUIRE(answers.size() == 1);
+    CHECK(answers.front().status == 200);
+}
