A test of a connection that is deaf to the response after a paused one

What callers see: a host answers 504 at the deadline, or 502 at the end of its stop, though the server has ended its run and answered seconds before; on hosts that stop and on hosts that do not.

Cause: request_flow pauses the reading of a server's connection when the caller's buffer is full (client_connection::set_reading(false)). If the rest of the response has been read by then, it ends and the connection goes back to the pool with its reading disabled. send() does not enable it, so the next request on it gets no response, and no loss of the connection is noticed either.

--- a/tests/auto/http/client_connection_test.cpp
+++ b/tests/auto/http/client_connection_test.cpp
@@ -120,3 +120,31 @@
     CHECK_FALSE(lost);
     CHECK(server.received_bytes > 0);
 }
+
+// Guards against: a connection on which the reading was paused at the end of a response never
+// reads the response to its next request, which then ends at its deadline though its server has
+// answered.
+TEST_CASE("client connection: the response after one whose reading was paused is read")
+{
+    event_loop loop;
+    loopback_server server{loop};
+    client_connection connection{loop, {.address = server.address}};
+    constexpr seconds most_wait{2};
+    bool reusable = false;
+    bool ended = false;
+    const auto send_next = [&](bool may_reuse) {
+        reusable = may_reuse;
+        connection.send("GET / HTTP/1.1\r\n\r\n", "", true, {.on_end = [&](bool) {
+                            ended = true;
+                            loop.stop();
+                        }});
+    };
+    connection.send("GET / HTTP/1.1\r\n\r\n", "", true,
+                    {.on_body = [&](const char*, std::size_t) { connection.set_reading(false); },
+                     .on_end = send_next});
+    timer give_up{loop, [&] { loop.stop(); }};
+    give_up.once(most_wait);
+    loop.run();
+    CHECK(reusable);
+    CHECK(ended);
+}
