HTTP client: a connection whose reading was paused reads its next response

What callers saw: 504 at the deadline, or 502 at the end of a stop, although their server had ended its run and answered; on hosts that stop and on others.

Cause: reading from a server is paused while the caller's buffer is full. If the rest of the response has been read by then, the connection goes back to the pool with its reading off, so that the next request on it never gets its response and no loss of the connection is noticed.

A connection reads on when its response is complete.

--- a/src/libs/http/client_connection.cpp
+++ b/src/libs/http/client_connection.cpp
@@ -248,6 +248,8 @@
     if (!reusable) {
         close(unsent);
     }
+    // The reader of this response may have paused it.
+    set_reading(true);
     hooks.on_end(reusable);
 }
 
