Tests: servers whose connection goes silent

The raw server of the tests can lose segments with data (a socket filter on its own sockets), so that nothing acknowledges them, as on a full link.

Guards (a server's silence no longer ends a request that can't be repeated).

--- a/tests/auto/entry/raw_server.cpp
+++ b/tests/auto/entry/raw_server.cpp
@@ -6,10 +6,33 @@
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
+#include <linux/filter.h>
 #include <sys/socket.h>
 
 namespace quincewing::testing {
 
+namespace {
+
+// A socket filter that accepts segments without data only: a request is longer than any TCP header.
+void lose_data(int fd, bool on)
+{
+    constexpr std::uint32_t max_header = 60;
+    constexpr std::uint32_t accept_all = 0xffffffff;
+    std::array<sock_filter, 4> code{{BPF_STMT(BPF_LD | BPF_W | BPF_LEN, 0),
+                                     BPF_JUMP(BPF_JMP | BPF_JGT | BPF_K, max_header, 1, 0),
+                                     BPF_STMT(BPF_RET | BPF_K, accept_all),
+                                     BPF_STMT(BPF_RET | BPF_K, 0)}};
+    const sock_fprog program{.len = code.size(), .filter = code.data()};
+    const int unused = 0;
+    if (on) {
+        setsockopt(fd, SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof program);
+    } else {
+        setsockopt(fd, SOL_SOCKET, SO_DETACH_FILTER, &unused, sizeof unused);
+    }
+}
+
+} // namespace
+
 raw_server::raw_server(event_loop& loop, raw_server_options options)
     : loop_(loop), options_(options)
 {
@@ -18,10 +41,14 @@
         setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &options_.receive_buffer,
                    sizeof options_.receive_buffer);
     }
+    listener_fd_ = fd;
+    if (options_.losing_data) {
+        lose_data(fd, true);
+    }
     sockaddr_in at{};
     at.sin_family = AF_INET;
     at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    bind(fd, reinterpret_cast<sockaddr*>(&at), sizeof at);
+    (void)bind(fd, reinterpret_cast<sockaddr*>(&at), sizeof at);
     socklen_t n = sizeof at;
     getsockname(fd, reinterpret_cast<sockaddr*>(&at), &n);
     address_ = "127.0.0.1:" + std::to_string(ntohs(at.sin_port));
@@ -93,6 +120,16 @@
     }
 }
 
+void raw_server::set_losing_data(bool on)
+{
+    lose_data(listener_fd_, on);
+    for (auto* it : connections_) {
+        if (it != nullptr) {
+            lose_data(bufferevent_getfd(it), on);
+        }
+    }
+}
+
 void raw_server::set_reading(bool on)
 {
     options_.reading = on;
--- a/tests/auto/entry/raw_server.hpp
+++ b/tests/auto/entry/raw_server.hpp
@@ -18,6 +18,8 @@
     int receive_buffer{};
     /// Whether the server reads from the start.
     bool reading{true};
+    /// Whether segments with data are lost on their way, so that nothing acknowledges them.
+    bool losing_data{};
 };
 
 /// A backend server on the test's event loop that sends bytes as they are given and collects what
@@ -36,6 +38,7 @@
     /// Sends on the connection that was the n-th to be accepted.
     void send(const std::string& bytes, std::size_t n = 0);
     void set_reading(bool on);
+    void set_losing_data(bool on);
     /// Sends bytes at once and closes the connection, which resets it if there is unread data.
     void send_and_close(const std::string& bytes, std::size_t n = 0);
 
@@ -48,6 +51,7 @@
 
     event_loop& loop_;
     raw_server_options options_;
+    int listener_fd_{-1};
     evconnlistener* listener_{};
     /// nullptr: closed.
     std::vector<bufferevent*> connections_;
--- a/tests/auto/entry/server_end_test.cpp
+++ b/tests/auto/entry/server_end_test.cpp
@@ -26,11 +26,24 @@
 public:
     explicit server_end_run(small_deployment_options options,
                             raw_server_options server_options = {})
-        : deployment_(loop, options), server(loop, server_options),
-          host_(loop, deployment_.settings(), api())
+        : deployment_(loop, options), server(loop, server_options), second(loop, server_options),
+          host_(loop, settings(), api())
     {
     }
 
+    /// Requests may then run at both. To be called before run().
+    void add_second_server()
+    {
+        max_servers_ = 2;
+        deployment_.api().store.append(store_stream::servers, {.key = "s2", .value = ""}, {},
+                                       [](const store_append_result&) {});
+    }
+
+    void stop_host()
+    {
+        host_.stop(stop_signal_now(), [] {});
+    }
+
     /// Starts the host, calls begin and runs for this long.
     void run(duration time, const std::function<void()>& begin)
     {
@@ -47,22 +60,37 @@
     event_loop loop;
 
 private:
+    [[nodiscard]] entry_settings settings() const
+    {
+        auto out = deployment_.settings();
+        // Requests may be repeated from the start.
+        out.bounds.repeat_window = millis{100};
+        return out;
+    }
     [[nodiscard]] deployment_api api()
     {
         auto out = deployment_.api();
         const auto decode = out.decode_server;
         out.decode_server = [this, decode](const store_record& record) {
             auto it = decode(record);
-            it->address = server.address();
+            it->address = (record.key == "s2" ? second : server).address();
+            return it;
+        };
+        const auto decode_routes = out.decode_configuration;
+        out.decode_configuration = [this, decode_routes](const store_record& record) {
+            auto it = decode_routes(record);
+            it->routes.front().max_servers = max_servers_;
             return it;
         };
         return out;
     }
 
+    std::uint32_t max_servers_{1};
     small_deployment deployment_;
 
 public:
     raw_server server;
+    raw_server second;
 
 private:
     entry_host host_;
@@ -110,6 +138,56 @@
     CHECK_MESSAGE(caller->statuses() == "200", caller->received());
 }
 
+// Guards against a request that is given up where a full link holds acknowledgements back.
+TEST_CASE("entry server end: a request that can't be repeated outlasts lost segments")
+{
+    server_end_run it{{}, {.losing_data = true}};
+    timer heal{it.loop, [&] { it.server.set_losing_data(false); }};
+    it.server.on_received = [&] { it.server.send(response_to("a", "ok")); };
+    std::unique_ptr<raw_caller> caller;
+    it.run(millis{3000}, [&] {
+        caller = std::make_unique<raw_caller>(it.loop, it.callers());
+        caller->send(post_request("a"));
+        heal.once(millis{1000});
+    });
+    CHECK_MESSAGE(caller->statuses() == "200", caller->received());
+}
+
+// Guards against a stopping host that answers in place of a silent server.
+TEST_CASE("entry server end: a stopping host waits for a server that is silent")
+{
+    server_end_run it{{.retry = retry_policy::idempotent}, {.losing_data = true}};
+    timer stop{it.loop, [&] { it.stop_host(); }};
+    timer heal{it.loop, [&] { it.server.set_losing_data(false); }};
+    it.server.on_received = [&] { it.server.send(response_to("a", "ok")); };
+    std::unique_ptr<raw_caller> caller;
+    it.run(millis{3000}, [&] {
+        caller = std::make_unique<raw_caller>(it.loop, it.callers());
+        caller->send(post_request("a"));
+        stop.once(millis{100});
+        heal.once(millis{1000});
+    });
+    CHECK_MESSAGE(caller->statuses() == "200", caller->received());
+}
+
+// Guards against an idempotent request that waits for a server that is gone, beside one that is
+// not.
+TEST_CASE("entry server end: an idempotent request is repeated when its server is silent")
+{
+    server_end_run it{{.retry = retry_policy::idempotent}, {.losing_data = true}};
+    it.add_second_server();
+    it.server.on_accepted = [&] { it.second.set_losing_data(false); };
+    it.second.on_accepted = [&] { it.server.set_losing_data(false); };
+    it.server.on_received = [&] { it.server.send(response_to("a", "ok")); };
+    it.second.on_received = [&] { it.second.send(response_to("a", "ok")); };
+    std::unique_ptr<raw_caller> caller;
+    it.run(millis{1300}, [&] {
+        caller = std::make_unique<raw_caller>(it.loop, it.callers());
+        caller->send(post_request("a"));
+    });
+    CHECK_MESSAGE(caller->statuses() == "200", caller->received());
+}
+
 // Guards against a request that its server gets although the caller left before it was sent.
 TEST_CASE("entry server end: a request is not sent after its caller has left")
 {
