Entry host: signals during the start do not end the process without a stop

What callers saw: a SIGHUP or SIGTERM that came while the host started, its listeners already open, ended the process at once.

Cause: the handlers were installed after start().

Fix: serve_entry installs the handlers first. What comes before the loop runs is handled when it does. The time before serve_entry (loading of the program, the first look at the settings file) is as before.

--- a/src/app/serve_entry.cpp
+++ b/src/app/serve_entry.cpp
@@ -9,6 +9,7 @@
 #include <event2/event.h>
 #include <fstream>
 #include <iostream>
+#include <memory>
 #include <sstream>
 
 namespace quincewing {
@@ -86,23 +87,26 @@
 
 int serve_entry(const command_line& line)
 {
+    std::signal(SIGPIPE, SIG_IGN);
+    event_loop loop;
+    std::unique_ptr<entry_host> host;
+    // A signal that comes before the loop runs is handled when it does.
+    stop_signals stop{loop, [&](const stop_signal& it) { host->stop(it, [&] { loop.stop(); }); }};
+    reload_signal reload{loop, [&] { on_reload(line.settings); }};
     const auto settings = load(line.settings);
     if (!settings) {
         return settings.error();
     }
-    std::signal(SIGPIPE, SIG_IGN);
-    event_loop loop;
-    entry_host host{loop, *settings,
-                    make_platform_adapter(
-                        loop, {.store = settings->store, .servers_from = settings->servers_from})};
-    if (const auto failed = host.start(); !failed.empty()) {
+    host = std::make_unique<entry_host>(
+        loop, *settings,
+        make_platform_adapter(loop,
+                              {.store = settings->store, .servers_from = settings->servers_from}));
+    if (const auto failed = host->start(); !failed.empty()) {
         log_event("cannot_listen", {{"address", failed}});
         return cannot_listen;
     }
-    stop_signals stop{loop, [&](const stop_signal& it) { host.stop(it, [&] { loop.stop(); }); }};
-    reload_signal reload{loop, [&] { on_reload(line.settings); }};
     loop.run();
-    log_event("exit", {{"unsent_bytes", host.unsent_bytes()}});
+    log_event("exit", {{"unsent_bytes", host->unsent_bytes()}});
     standard_log().tick(monotonic_now());
     // The sockets end with the process; taking the tasks apart in order gains nothing.
     std::_Exit(0);
