Stop of an entry host: proofs, and no delay counted before the first tick

The first tick's delay was counted from the epoch of the clock; a stop with a grace period below a second, within a second of the start, would have answered too early (by reading, no run shows it).

--- a/src/plugins/entry/entry_host.cpp
+++ b/src/plugins/entry/entry_host.cpp
@@ -98,7 +98,7 @@
     loop_delays delays;
     instant started{monotonic_now()};
     instant next_log_tick{};
-    instant last_tick{};
+    instant last_tick{monotonic_now()};
     stop_record stop_notes;
     entry_stop_schedule stop_steps;
     bool stopping{};
--- a/tests/auto/entry/entry_late_stop_test.cpp
+++ b/tests/auto/entry/entry_late_stop_test.cpp
@@ -65,6 +65,7 @@
     for (const auto turn : {millis{200}, millis{300}}) {
         late_stop_run it{{.service_time = longer_than_grace, .route_timeout = seconds{30}}};
         std::vector<thread_caller*> all;
+        all.reserve(callers);
         for (int i = 0; i < callers; ++i) {
             all.push_back(&it.add_caller(
                 {.bytes = post_request("r" + std::to_string(i)), .send_after = millis{1000}}));
