Failure tests: a process that cannot be started is named

A test of the failures ("callers that leave during an answer keep the server's slots") failed in a run beside a load of 30: REQUIRE( caller.get(...) ), false. In the fleet's kept files host1 and server2 have no log file, and host0 never heard of host1, so that the caller's connection was refused. child_process did not look at what fork returned and went on.

Now it throws with the system's error. No check was changed.

--- a/tests/failures/process_fleet.cpp
+++ b/tests/failures/process_fleet.cpp
@@ -1,5 +1,6 @@
 #include "process_fleet.hpp"
 
+#include <cerrno>
 #include <chrono>
 #include <csignal>
 #include <cstdlib>
@@ -10,6 +11,7 @@
 #include <sstream>
 #include <sys/prctl.h>
 #include <sys/wait.h>
+#include <system_error>
 #include <thread>
 #include <unistd.h>
 
@@ -57,6 +59,9 @@
     }
     argv.push_back(nullptr);
     pid_ = fork();
+    if (pid_ < 0) {
+        throw std::system_error{errno, std::generic_category(), "fork"};
+    }
     if (pid_ != 0) {
         return;
     }
