Entry stop: a connection that was made too late gives its request back at once

A stopping host whose connection to a server was made after the last start kept a keyed request's caller away for 300 ms with 'unreachable'. It is refused like all others that are at no server: 503 with Retry-After 0, since another host can take it. By reading; entry stop: all cases pass before and after.

--- a/src/plugins/entry/request_flow_send.cpp
+++ b/src/plugins/entry/request_flow_send.cpp
@@ -194,8 +194,12 @@
         finish(0, to_string(exchange_->disconnect_cause()));
         return;
     }
-    const bool usable = services_.may_start_requests() && server_still_usable();
-    if (usable && time_left() > millis{20} && send_by_relay()) {
+    if (!services_.may_start_requests()) {
+        leave_server(attempt_outcome::unused, false);
+        refuse_unsent();
+        return;
+    }
+    if (server_still_usable() && time_left() > millis{20} && send_by_relay()) {
         return;
     }
     leave_unreachable(to_string(how));
