Stop: what lies in the sockets is read before the rest is answered

What callers saw: 502 at the end of a stop though their server had answered up to 0.3 s before, while the host did not run.

Cause: a process that was suspended runs the timers that are due before it reads its sockets (the interrupted wait of its loop reports no socket), so the end's timer gave the requests up with their responses unread.

When the rest is due, three more turns of the loop read what is there before anything is given up; the host mode waits for one more tick.

--- a/src/plugins/entry/entry_host.cpp
+++ b/src/plugins/entry/entry_host.cpp
@@ -31,6 +31,9 @@
 
 constexpr millis tick_period{50};
 constexpr seconds log_period{1};
+// A process that was suspended runs its timers before it reads its sockets, and one turn of the
+// loop reads only a part of a long response.
+constexpr int turns_of_last_reads = 3;
 // How often a host that ends looks whether its answers have left it.
 constexpr millis sent_look_period{20};
 // Messages to other hosts leave the socket's buffer in this time.
@@ -349,7 +352,9 @@
     if (now >= stop_steps.close_idle) {
         listener.close_idle_connections();
     }
-    if (now >= stop_steps.refuse_unsent) {
+    // The end's own timer goes on once per turn of the loop.
+    const bool reads_last = stop_notes.last_reads > 0 && !stop_notes.rest_answered;
+    if (now >= stop_steps.refuse_unsent && !reads_last) {
         look_for_end();
     }
 }
@@ -370,6 +375,11 @@
     const auto end = end_at(stop_steps, late);
     const bool whole = !stop_notes.rest_answered && nothing_open();
     if (!whole && !stop_notes.rest_answered && now >= answer_rest) {
+        if (stop_notes.last_reads < turns_of_last_reads) {
+            ++stop_notes.last_reads;
+            end_timer.once(duration{0});
+            return;
+        }
         stop_notes.rest_answered = true;
         listener.answer_unfinished();
         // Answers are written in the next turn of the loop.
