Entry stop: a host that links to one that stops is told of it

What callers saw: 502 host_lost at hosts that stop and at others, for requests that were sent by way of a host up to 5.9 s after its own SIGTERM, some after its exit.

Cause: a host tells that it leaves once, to the hosts that are linked then. Hosts that link to it later, or whose link fell in between, took it for one that stays; and a link that fell made a host forget what it had been told.

A stopping host tells each host that links to it, or that it links to. Which hosts leave is kept over the fall of a link; the name is of one process and does not come again.

--- a/src/plugins/entry/entry_host.cpp
+++ b/src/plugins/entry/entry_host.cpp
@@ -58,6 +58,8 @@
     void on_view_change();
     void on_limits_change();
     void on_host_lost(const host_id& host);
+    /// A host that links to one that stops has not heard of the stop.
+    void tell_if_stopping(const host_id& host);
     void log_store_calls();
     void tick();
     void continue_shutdown(instant now);
@@ -133,9 +135,14 @@
                      crashes.on_host_connected(it.host);
                      conditions.on_host_connected(it.host);
                      reach.on_host_connected(it.host, it.data_centre);
+                     tell_if_stopping(it.host);
                  },
              .on_disconnected = [this](const host_id& host) { on_host_lost(host); },
-             .on_visitor = [this](const peer_identity& it) { announcer.link_back(it); },
+             .on_visitor =
+                 [this](const peer_identity& it) {
+                     announcer.link_back(it);
+                     tell_if_stopping(it.host);
+                 },
              .on_process_gone = [](const host_id&) {},
              .on_request = [this](const exchange_ptr& it) { relays.on_request(it); },
              .next_request_id = [] { return request_id{}; }}),
@@ -283,6 +290,13 @@
     reach.on_host_lost(host);
 }
 
+void entry_host::tasks::tell_if_stopping(const host_id& host)
+{
+    if (stopping) {
+        peers.send(host, host_leaving{});
+    }
+}
+
 void entry_host::tasks::log_store_calls()
 {
     const auto counts = store_calls.take_new();
--- a/src/plugins/entry/reach_task.cpp
+++ b/src/plugins/entry/reach_task.cpp
@@ -129,7 +129,6 @@
 {
     hosts_.erase(host);
     cut_hosts_.erase(host);
-    leaving_.erase(host);
     list_relay_hosts();
 }
 
--- a/tests/auto/entry/entry_stop_test.cpp
+++ b/tests/auto/entry/entry_stop_test.cpp
@@ -2,6 +2,7 @@
 #include "small_deployment.hpp"
 
 #include "quincewing/entry/entry_host.hpp"
+#include "quincewing/peers/peers_task.hpp"
 
 #include <algorithm>
 #include <cstddef>
@@ -10,6 +11,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <variant>
 #include <vector>
 
 using namespace quincewing;
@@ -195,3 +197,26 @@
     CHECK(caller->statuses() == "413");
     CHECK_FALSE(caller->broken());
 }
+
+// Guards against requests of other hosts that are sent by way of a host which stops, as those hosts
+// were linked to it only after it had told that.
+TEST_CASE("entry stop: a host that links to one that stops learns of the stop")
+{
+    stop_run it{{.service_time = millis{30}}};
+    const auto address = "127.0.0.1:" + std::to_string(free_port());
+    bool told = false;
+    peers_task visitor{it.loop(),
+                       {.self = make_host_id(address, 7), .address = address, .listen = address},
+                       {.on_message =
+                            [&](const envelope& message) {
+                                told = told || std::holds_alternative<host_leaving>(message.body);
+                            },
+                        .on_connected = [](const peer_identity&) {},
+                        .on_process_gone = [](const host_id&) {}}};
+    timer link{it.loop(), [&] { visitor.connect_to({it.deployment().settings().peers}); }};
+    it.run([&] {
+        REQUIRE(visitor.start());
+        link.once(millis{600});
+    });
+    CHECK(told);
+}
