--- a/include/quincewing/deployment/entry_stop_schedule.hpp
+++ b/include/quincewing/deployment/entry_stop_schedule.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
+#include "quincewing/base/stop_signal.hpp"
 #include "quincewing/base/time.hpp"
-#include "quincewing/net/stop_signals.hpp"
 
 namespace quincewing {
 
--- a/include/quincewing/net/stop_signals.hpp
+++ b/include/quincewing/net/stop_signals.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "quincewing/base/time.hpp"
+#include "quincewing/base/stop_signal.hpp"
 #include "quincewing/net/event_loop.hpp"
 
 #include <csignal>
@@ -10,15 +10,6 @@
 
 namespace quincewing {
 
-/// A SIGTERM or SIGINT. It was sent between the two moments.
-struct stop_signal
-{
-    /// The process had read its clock then, and did not have the signal yet.
-    instant sent_after{};
-    /// The process got the signal, at whatever it was at work.
-    instant received_at{};
-};
-
 /// For a stop without a signal.
 stop_signal stop_signal_now();
 
--- a/src/plugins/entry/stop_record.hpp
+++ b/src/plugins/entry/stop_record.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "quincewing/net/stop_signals.hpp"
+#include "quincewing/base/stop_signal.hpp"
 
 #include <algorithm>
 #include <optional>
