--- a/tests/auto/entry/server_end_test.cpp
+++ b/tests/auto/entry/server_end_test.cpp
@@ -284,3 +284,28 @@
     CHECK(caller->closed());
     CHECK(it.server.received().find("X-Request: b") == std::string::npos);
 }
+
+// Guards against a response whose reading was paused for a slow caller and is never resumed when
+// that caller leaves: the request keeps its slot until a second after the deadline.
+TEST_CASE("entry server end: a paused response is read on when its caller has left")
+{
+    server_end_run it{{.slots = 1}};
+    timer respond{it.loop,
+                  [&] { it.server.send(response_to("a", std::string(8'000'000, '.')), 0); }};
+    std::unique_ptr<raw_caller> slow;
+    std::unique_ptr<raw_caller> next;
+    timer leave{it.loop, [&] { slow.reset(); }};
+    timer follow{it.loop, [&] {
+                     next = std::make_unique<raw_caller>(it.loop, it.callers());
+                     next->send(post_request("b"));
+                 }};
+    it.run(millis{2500}, [&] {
+        slow = std::make_unique<raw_caller>(it.loop, it.callers());
+        slow->set_reading(false);
+        slow->send(post_request("a"));
+        respond.once(millis{100});
+        leave.once(millis{700});
+        follow.once(millis{900});
+    });
+    CHECK(it.server.received().find("X-Request: b") != std::string::npos);
+}
