--- /dev/null
+++ b/src/libs/assignment/coordinator_ranges.cpp
@@ -0,0 +1,204 @@
+#include "quincewing/assignment/coordinator.hpp"
+
+#include <algorithm>
+
+/// coordinator: grants and releases of single ranges.
+namespace quincewing {
+
+void coordinator::note_released(const assigned_range& range)
+{
+    known_released_.insert({range.fence, range.keys.first});
+}
+
+// A server that accepted the release refuses older fences from then on. A rejection confirms the
+// end of the holder only if a server of another service, which knows no keys, now has its address.
+// A restart of the holder confirms nothing: a grant may have reached the new process since.
+bool coordinator::confirms_release(const assigned_range& range, call_outcome outcome) const
+{
+    if (outcome == call_outcome::accepted) {
+        return true;
+    }
+    const bool other_service =
+        std::any_of(servers_.begin(), servers_.end(), [&](const auto& entry) {
+            return entry.second.address == range.previous_owner.address &&
+                   entry.second.service != range.service;
+        });
+    return outcome == call_outcome::rejected && other_service;
+}
+
+coordinator::range_state& coordinator::state_of(const assigned_range& range)
+{
+    const auto [found, inserted] = range_states_.try_emplace({range.fence, range.keys.first});
+    if (inserted) {
+        found->second.released = range.previous_owner.empty() ||
+                                 known_released_.contains({range.fence, range.keys.first});
+    }
+    return found->second;
+}
+
+const coordinator::range_state* coordinator::find_state(const assigned_range& range) const
+{
+    const auto found = range_states_.find({range.fence, range.keys.first});
+    return found == range_states_.end() ? nullptr : &found->second;
+}
+
+bool coordinator::held(instant now, const assigned_range& range) const
+{
+    const auto* state = find_state(range);
+    return state != nullptr && now < state->granted_until;
+}
+
+// Keys that nobody holds go first: a renewal has time.
+void coordinator::advance_ranges(instant now)
+{
+    const auto limit = next_call_number_ + options_.max_calls_per_tick;
+    for (const bool renewals : {false, true}) {
+        for (const auto& range : table_.ranges) {
+            if (next_call_number_ >= limit) {
+                return;
+            }
+            if (held(now, range) == renewals) {
+                advance_range(now, range);
+            }
+        }
+    }
+}
+
+void coordinator::advance_range(instant now, const assigned_range& range)
+{
+    auto& state = state_of(range);
+    if (state.call_pending || state.needs_new_fence || now < state.next_call) {
+        return;
+    }
+    if (!state.released) {
+        release_previous_owner(now, range, state);
+    }
+    if (state.released && !state.call_pending) {
+        grant_range(now, range, state);
+    }
+}
+
+// The release carries the new fence: from then on the holder refuses every grant under an older
+// fence, even one still in flight. Without an answer the holder may keep the keys until the last
+// possible grant has expired.
+void coordinator::release_previous_owner(instant now, const assigned_range& range,
+                                         range_state& state)
+{
+    const bool expired = now > latest_grant_end(range.previous_owner);
+    if (expired) {
+        state.released = true;
+        if (hooks_.on_released) {
+            hooks_.on_released(range, false);
+        }
+        return;
+    }
+    state.call_pending = true;
+    const call_number number{next_call_number_++};
+    calls_[number] = {.service = range.service, .range = {range.fence, range.keys.first}};
+    effects_.emplace_back(
+        release_keys{.number = number,
+                     .holder = range.previous_owner,
+                     .keys = range.keys,
+                     .fence = options_.release_with_new_fence ? range.fence : range.fence - 1,
+                     .timeout = options_.release_timeout});
+}
+
+void coordinator::grant_range(instant now, const assigned_range& range, range_state& state)
+{
+    const auto server = servers_.find(range.owner.id);
+    if (server == servers_.end() || server->second.start != range.owner.start) {
+        return;
+    }
+    const bool degraded = now - last_read_ > options_.degraded_after;
+    const auto valid_for = degraded ? options_.degraded_grant_validity : options_.grant_validity;
+    const call_number number{next_call_number_++};
+    state.call_pending = true;
+    calls_[number] = {.service = range.service,
+                      .range = {range.fence, range.keys.first},
+                      .holder = range.owner,
+                      .granted_until = now + valid_for,
+                      .latest_grant_end =
+                          now + options_.grant_timeout + with_clock_drift(valid_for),
+                      .is_grant = true};
+    effects_.emplace_back(grant_keys{.number = number,
+                                     .holder = range.owner,
+                                     .keys = range.keys,
+                                     .fence = range.fence,
+                                     .valid_for = valid_for,
+                                     .handoff = state.handoff,
+                                     .timeout = options_.grant_timeout,
+                                     .newest_connection = state.connection});
+}
+
+void coordinator::on_call(instant now, call_number number, call_outcome outcome,
+                          std::string handoff, connection_number connection)
+{
+    const auto call = calls_.find(number);
+    if (call == calls_.end()) {
+        return;
+    }
+    const auto pending = call->second;
+    calls_.erase(call);
+    if (pending.is_grant && outcome != call_outcome::not_sent) {
+        auto& end = latest_grant_ends_[pending.holder];
+        end = std::max(end, pending.latest_grant_end);
+    }
+    const auto* range = table_.find(pending.service, pending.range.second);
+    const auto found = range_states_.find(pending.range);
+    if (range == nullptr || range->fence != pending.range.first || found == range_states_.end()) {
+        return;
+    }
+    found->second.call_pending = false;
+    found->second.next_call = now + options_.call_retry_delay;
+    if (pending.is_grant) {
+        on_grant(now, *range, pending, outcome, connection);
+    } else {
+        on_release(now, *range, outcome, std::move(handoff));
+    }
+}
+
+void coordinator::on_grant(instant now, const assigned_range& range, const pending_call& call,
+                           call_outcome outcome, connection_number connection)
+{
+    auto& state = state_of(range);
+    if (outcome == call_outcome::accepted) {
+        const bool held_before = now < state.granted_until;
+        state.granted_until = call.granted_until;
+        state.maybe_granted = true;
+        state.connection = connection;
+        state.next_call = now + options_.renew_interval;
+        if (!held_before && hooks_.on_held) {
+            hooks_.on_held(range);
+        }
+    } else if (state.maybe_granted && outcome == call_outcome::not_sent) {
+        // The connection to the process that had the grant is closed. The process now at the
+        // address may be a restarted one, whose entry appears in the store later.
+        state.needs_new_fence = true;
+    } else if (outcome == call_outcome::unknown) {
+        state.maybe_granted = true;
+        state.needs_new_fence = true;
+    } else if (outcome == call_outcome::fenced) {
+        state.needs_new_fence = true;
+        if (hooks_.on_grant_fenced) {
+            hooks_.on_grant_fenced(range);
+        }
+    }
+}
+
+void coordinator::on_release(instant now, const assigned_range& range, call_outcome outcome,
+                             std::string handoff)
+{
+    if (!confirms_release(range, outcome)) {
+        return;
+    }
+    auto& state = state_of(range);
+    state.released = true;
+    state.handoff = std::move(handoff);
+    state.next_call = now;
+    if (hooks_.on_released) {
+        hooks_.on_released(range, !state.handoff.empty());
+    }
+    advance_range(now, range);
+}
+
+} // namespace quincewing
--- a/src/plugins/entry/entry_host.cpp
+++ b/src/plugins/entry/entry_host.cpp
@@ -1,28 +1,10 @@
-#include "quincewing/entry/entry_host.hpp"
-
-#include "caller_listener.hpp"
-#include "condition_exchange.hpp"
-#include "configuration_follower.hpp"
-#include "coordination_task.hpp"
-#include "crash_exchange.hpp"
-#include "dispatch_task.hpp"
-#include "host_announcer.hpp"
-#include "loop_delays.hpp"
-#include "reach_task.hpp"
-#include "request_relay.hpp"
-#include "server_connections.hpp"
-#include "status_server.hpp"
-#include "stop_record.hpp"
-#include "store_follower.hpp"
+#include "entry_host_tasks.hpp"
 
 #include "quincewing/base/hash.hpp"
-#include "quincewing/deployment/entry_stop_schedule.hpp"
-#include "quincewing/deployment/store_call_counts.hpp"
 #include "quincewing/logging/event_log.hpp"
-#include "quincewing/peers/peers_task.hpp"
 
-#include <algorithm>
 #include <random>
+#include <utility>
 #include <variant>
 
 namespace quincewing {
@@ -31,13 +13,6 @@
 
 constexpr millis tick_period{50};
 constexpr seconds log_period{1};
-// A process that was suspended runs its timers before it reads its sockets, and one turn of the
-// loop reads only a part of a long response.
-constexpr int turns_of_last_reads = 3;
-// How often a host that ends looks whether its answers have left it.
-constexpr millis sent_look_period{20};
-// Messages to other hosts leave the socket's buffer in this time.
-constexpr millis time_for_last_messages{150};
 // Hosts that are out of reach for less keep their part of the retry budget, and are found again.
 constexpr seconds forget_host_after{600};
 
@@ -50,69 +25,6 @@
 
 } // namespace
 
-struct entry_host::tasks
-{
-    tasks(event_loop& loop_, entry_settings settings_, deployment_api platform_);
-
-    void on_message(const envelope& it);
-    void on_view_change();
-    void on_limits_change();
-    void on_host_lost(const host_id& host);
-    /// A host that links to one that stops has not heard of the stop.
-    void tell_if_stopping(const host_id& host);
-    void log_store_calls();
-    void tick();
-    void continue_shutdown(instant now);
-    /// Answers the rest and ends the stop, each when it is time.
-    void look_for_end();
-    [[nodiscard]] bool nothing_open() const;
-    void end_stop(bool whole);
-    void log_stop(bool whole) const;
-    /// How requests ended since the stop began.
-    void log_ends();
-    [[nodiscard]] bool configuration_in_force() const;
-    [[nodiscard]] bool ready() const;
-    [[nodiscard]] shared_retry_budget& budget(const service_id& service);
-
-    event_loop& loop;
-    entry_settings settings;
-    store_call_counts store_calls;
-    deployment_api platform;
-    registry metrics;
-    host_id self;
-    deployment_view view;
-    host_context context;
-    peers_task peers;
-    store_follower follower;
-    configuration_follower configuration;
-    coordination_task coordination;
-    dispatch_task dispatch;
-    crash_exchange crashes;
-    condition_exchange conditions;
-    server_connections connections;
-    reach_task reach;
-    std::map<service_id, shared_retry_budget> budgets;
-    flow_services services;
-    caller_listener listener;
-    request_relay relays;
-    host_announcer announcer;
-    status_server status;
-    timer tick_timer;
-    timer refusal_timer;
-    timer end_timer;
-    loop_delays delays;
-    instant started{monotonic_now()};
-    instant next_log_tick{};
-    instant last_tick{monotonic_now()};
-    stop_record stop_notes;
-    entry_stop_schedule stop_steps;
-    bool stopping{};
-    bool record_removed{};
-    /// The configuration was once known to be in force.
-    bool configuration_confirmed{};
-    std::function<void()> on_stopped;
-};
-
 entry_host::tasks::tasks(event_loop& loop_, entry_settings settings_, deployment_api platform_)
     : loop(loop_), settings(std::move(settings_)), platform(std::move(platform_)),
       self(new_host_id(settings.peers)),
@@ -341,87 +253,6 @@
     }
 }
 
-void entry_host::tasks::log_stop(bool whole) const
-{
-    const auto signalled = stop_notes.signal.received_at;
-    log_event("stopped", {{"host", self.value},
-                          {"whole", whole ? "yes" : "no"},
-                          {"took", monotonic_now() - signalled},
-                          {"tick_delay", stop_notes.tick_delay},
-                          {"last_started", listener.last_started() - signalled}});
-}
-
-void entry_host::tasks::log_ends()
-{
-    for (const auto& it : services.ends.take()) {
-        log_event("ends_at_stop", {{"reason", it.end.reason},
-                                   {"at_server", it.end.at_server ? "yes" : "no"},
-                                   {"status", it.end.status},
-                                   {"requests", it.requests}});
-    }
-}
-
-void entry_host::tasks::continue_shutdown(instant now)
-{
-    if (now >= stop_steps.close_idle) {
-        listener.close_idle_connections();
-    }
-    // The end's own timer goes on once per turn of the loop.
-    const bool reads_last = stop_notes.last_reads > 0 && !stop_notes.rest_answered;
-    if (now >= stop_steps.refuse_unsent && !reads_last) {
-        look_for_end();
-    }
-}
-
-bool entry_host::tasks::nothing_open() const
-{
-    return listener.idle() && relays.idle() && coordination.stopped() && record_removed;
-}
-
-void entry_host::tasks::look_for_end()
-{
-    if (!on_stopped) {
-        return;
-    }
-    const auto now = monotonic_now();
-    const auto late = delays.largest();
-    const auto answer_rest = answer_rest_at(stop_steps, late);
-    const auto end = end_at(stop_steps, late);
-    const bool whole = !stop_notes.rest_answered && nothing_open();
-    if (!whole && !stop_notes.rest_answered && now >= answer_rest) {
-        if (stop_notes.last_reads < turns_of_last_reads && listener.responses_unread()) {
-            ++stop_notes.last_reads;
-            end_timer.once(duration{0});
-            return;
-        }
-        stop_notes.rest_answered = true;
-        listener.answer_unfinished();
-        // Answers are written in the next turn of the loop.
-        end_timer.once(sent_look_period);
-        return;
-    }
-    const bool over = whole || stop_notes.rest_answered;
-    if (!over || !listener.all_sent()) {
-        stop_notes.all_sent_at.reset();
-    } else if (!stop_notes.all_sent_at) {
-        stop_notes.all_sent_at = now;
-    }
-    const auto& sent_at = stop_notes.all_sent_at;
-    if (now >= end || (sent_at && now - *sent_at >= time_for_last_messages)) {
-        end_stop(whole);
-        return;
-    }
-    end_timer.once(over ? duration{sent_look_period} : answer_rest - now);
-}
-
-void entry_host::tasks::end_stop(bool whole)
-{
-    listener.cut_answers();
-    log_stop(whole);
-    log_ends();
-    std::exchange(on_stopped, nullptr)();
-}
-
 entry_host::entry_host(event_loop& loop, entry_settings settings, deployment_api platform)
     : tasks_(std::make_unique<tasks>(loop, std::move(settings), std::move(platform)))
 {
@@ -451,34 +282,4 @@
     return {};
 }
 
-std::size_t entry_host::unsent_bytes() const
-{
-    return tasks_->listener.unsent_bytes();
-}
-
-void entry_host::stop(const stop_signal& signal, std::function<void()> done)
-{
-    auto& it = *tasks_;
-    if (it.stopping) {
-        return;
-    }
-    const auto now = monotonic_now();
-    it.stopping = true;
-    it.stop_steps = make_entry_stop_schedule(signal, it.settings.bounds.grace);
-    it.on_stopped = std::move(done);
-    it.stop_notes = {.signal = signal};
-    (void)it.services.ends.take();
-    log_event("stopping", {{"host", it.self.value},
-                           {"sent_after", now - signal.sent_after},
-                           {"received", now - signal.received_at}});
-    it.listener.set_stopping();
-    it.listener.set_last_start(it.stop_steps.refuse_unsent);
-    it.end_timer.once(std::max(it.stop_steps.answer_rest - now, duration{0}));
-    it.refusal_timer.once(std::max(it.stop_steps.refuse_unsent - now, duration{0}));
-    it.coordination.stop(now);
-    it.dispatch.on_host_leaving(it.self);
-    it.peers.send_to_all(host_leaving{});
-    it.announcer.stop([&it] { it.record_removed = true; });
-}
-
 } // namespace quincewing
