--- a/include/quincewing/backends/backend_pool.hpp
+++ b/include/quincewing/backends/backend_pool.hpp
@@ -69,7 +69,7 @@
     /// A new connection, for which an idle one may be closed. nullptr when there is no room.
     backend_connection* open_connection();
     /// The other connection that has the same request; nullptr when there is none.
-    backend_connection* twin_of(const backend_connection& it) const;
+    backend_connection* duplicate_of(const backend_connection& it) const;
     /// The first of two connections with one request got an answer.
     void on_head(backend_connection& from);
     /// A connection ended: with its answer, or broken.
--- a/src/plugins/backends/backend_pool.cpp
+++ b/src/plugins/backends/backend_pool.cpp
@@ -92,7 +92,7 @@
     return connections_.back().get();
 }
 
-backend_connection* backend_pool::twin_of(const backend_connection& it) const
+backend_connection* backend_pool::duplicate_of(const backend_connection& it) const
 {
     const auto found = std::find_if(connections_.begin(), connections_.end(), [&](const auto& c) {
         return c.get() != &it && c->busy() && c->current().it == it.current().it;
@@ -102,13 +102,13 @@
 
 void backend_pool::on_head(backend_connection& from)
 {
-    auto* twin = twin_of(from);
-    if (twin == nullptr) {
+    auto* duplicate = duplicate_of(from);
+    if (duplicate == nullptr) {
         return;
     }
-    counts_.connections_silent += twin->checked ? 1 : 0;
-    twin->aborted = true;
-    drop(*twin);
+    counts_.connections_silent += duplicate->checked ? 1 : 0;
+    duplicate->aborted = true;
+    drop(*duplicate);
 }
 
 void backend_pool::pump()
@@ -131,7 +131,7 @@
     budget_.on_success();
     const auto it = from.current();
     const auto result = from.result();
-    const bool other_runs = twin_of(from) != nullptr;
+    const bool other_runs = duplicate_of(from) != nullptr;
     from.current() = {};
     if (from.aborted) {
         ++counts_.late_answers;
@@ -156,7 +156,7 @@
     const bool handed = from.handed();
     const bool aborted = from.aborted;
     const bool head = from.head_received();
-    const bool other_runs = twin_of(from) != nullptr;
+    const bool other_runs = duplicate_of(from) != nullptr;
     drop(from);
     if (aborted) {
         return;
@@ -230,14 +230,14 @@
 void backend_pool::abort_running(backend_connection& it)
 {
     const auto exchange = it.current().it;
-    auto* twin = twin_of(it);
-    const bool handed = it.handed() || (twin != nullptr && twin->handed());
+    auto* duplicate = duplicate_of(it);
+    const bool handed = it.handed() || (duplicate != nullptr && duplicate->handed());
     exchange->resume = nullptr;
     it.aborted = true;
     drop(it);
-    if (twin != nullptr) {
-        twin->aborted = true;
-        drop(*twin);
+    if (duplicate != nullptr) {
+        duplicate->aborted = true;
+        drop(*duplicate);
     }
     done_(exchange, {.verdict = handed ? verdict::unknown : verdict::not_run});
     pump();
