Tests: each test process has ports of its own

Cause: tests took ports in three ways, none of which kept others away. The unit tests and the start test asked the system for a port, closed it and used it later; an outgoing connection of any test beside it could have it by then. The process fleets counted up from 12000 by 200 a fleet, so from the 21st fleet of a run on they lay in the range from which the entry fleets took theirs (16000 and up, by process id modulo 200, without an end).

Change: one block of ports for a fleet or a test process, below the system's range for outgoing connections, kept by a socket that is bound to the port before the block.

--- a/tests/auto/entry/entry_stop_test.cpp
+++ b/tests/auto/entry/entry_stop_test.cpp
@@ -1,3 +1,4 @@
+#include "port_block.hpp"
 #include "raw_caller.hpp"
 #include "small_deployment.hpp"
 
@@ -203,7 +204,7 @@
 TEST_CASE("entry stop: a host that links to one that stops learns of the stop")
 {
     stop_run it{{.service_time = millis{30}}};
-    const auto address = "127.0.0.1:" + std::to_string(free_port());
+    const auto address = free_address();
     bool told = false;
     peers_task visitor{it.loop(),
                        {.self = make_host_id(address, 7), .address = address, .listen = address},
--- a/tests/auto/entry/slot_messages_test.cpp
+++ b/tests/auto/entry/slot_messages_test.cpp
@@ -1,5 +1,6 @@
 #include "../../../src/plugins/entry/dispatch_task.hpp"
 
+#include "port_block.hpp"
 #include "small_deployment.hpp"
 
 #include "quincewing/base/hash.hpp"
@@ -30,7 +31,7 @@
 {
 public:
     slot_host(event_loop& loop, std::uint64_t instance)
-        : address("127.0.0.1:" + std::to_string(free_port())),
+        : address(free_address()),
           id(make_host_id(address, instance)), context_{loop, settings_, platform_,
                                                         view, metrics_,  id},
           peers(loop, {.self = id, .address = address, .listen = address},
--- a/tests/auto/entry/small_deployment.cpp
+++ b/tests/auto/entry/small_deployment.cpp
@@ -1,5 +1,7 @@
 #include "small_deployment.hpp"
 
+#include "port_block.hpp"
+
 #include <arpa/inet.h>
 #include <event2/buffer.h>
 #include <sys/socket.h>
@@ -11,11 +13,6 @@
 
 const service_id test_service{"desk"};
 
-std::string loopback(int port)
-{
-    return "127.0.0.1:" + std::to_string(port);
-}
-
 configuration one_route(const small_deployment_options& options)
 {
     configuration out{.version = config_version{1}};
@@ -32,24 +29,11 @@
 
 } // namespace
 
-int free_port()
-{
-    const int fd = socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in at{};
-    at.sin_family = AF_INET;
-    at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    const bool bound = bind(fd, reinterpret_cast<sockaddr*>(&at), sizeof at) == 0;
-    socklen_t n = sizeof at;
-    getsockname(fd, reinterpret_cast<sockaddr*>(&at), &n);
-    close(fd);
-    return bound ? ntohs(at.sin_port) : 0;
-}
-
 small_deployment::small_deployment(event_loop& loop, small_deployment_options options)
     : loop_(loop), options_(options)
 {
     const int port = free_port();
-    server_address_ = loopback(port);
+    server_address_ = "127.0.0.1:" + std::to_string(port);
     server_ = evhttp_new(loop.base());
     evhttp_set_allowed_methods(server_, EVHTTP_REQ_GET | EVHTTP_REQ_POST);
     const auto handle = [](evhttp_request* request, void* arg) {
@@ -59,10 +43,10 @@
     evhttp_bind_socket(server_, "127.0.0.1", static_cast<std::uint16_t>(port));
     settings_.name = "h1";
     settings_.data_centre = "dc";
-    settings_.callers = loopback(free_port());
-    settings_.readiness = loopback(free_port());
-    settings_.peers = loopback(free_port());
-    settings_.metrics = loopback(free_port());
+    settings_.callers = free_address();
+    settings_.readiness = free_address();
+    settings_.peers = free_address();
+    settings_.metrics = free_address();
     settings_.bounds.grace = options.grace;
     settings_.answer_buffer = options.answer_buffer;
     append(store_stream::configuration, {.key = "wanted", .value = "1"}, {});
--- a/tests/auto/entry/small_deployment.hpp
+++ b/tests/auto/entry/small_deployment.hpp
@@ -17,9 +17,6 @@
 
 namespace quincewing::testing {
 
-/// A loopback port that is not in use.
-int free_port();
-
 struct small_deployment_options
 {
     /// Time after which the server answers a request.
--- a/tests/failures/process_fleet.cpp
+++ b/tests/failures/process_fleet.cpp
@@ -21,11 +21,9 @@
 
 using nlohmann::json;
 
-// Each fleet of a test run takes its own ports, below the ones that the system hands out.
-constexpr int first_port = 12000;
-constexpr int ports_each = 200;
 int fleets_started = 0;
 
+// Where a fleet's ports lie in its block.
 constexpr int peers_at = 0;
 constexpr int listen_at = 20;
 constexpr int callers_at = 40;
@@ -112,11 +110,10 @@
     return false;
 }
 
-process_fleet::process_fleet(fleet_layout layout)
-    : layout_(std::move(layout)), base_port_(first_port + ports_each * fleets_started++)
+process_fleet::process_fleet(fleet_layout layout) : layout_(std::move(layout))
 {
     folder_ = std::filesystem::temp_directory_path() /
-              ("quincewing-" + std::to_string(getpid()) + "-" + std::to_string(base_port_));
+              ("quincewing-" + std::to_string(getpid()) + "-" + std::to_string(fleets_started++));
     std::filesystem::create_directories(folder_);
     start_platform();
     for (int i = 0; i < servers(); ++i) {
--- a/tests/failures/process_fleet.hpp
+++ b/tests/failures/process_fleet.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "port_block.hpp"
+
 #include "quincewing/net/http_call.hpp"
 
 #include <map>
@@ -104,11 +106,11 @@
     [[nodiscard]] bool at_home(int server, const nlohmann::json& pair) const;
     [[nodiscard]] std::string write_settings(int host) const;
     void start(const std::string& name, const std::vector<std::string>& arguments);
-    [[nodiscard]] int port(int offset) const { return base_port_ + offset; }
+    [[nodiscard]] int port(int offset) const { return ports_.port(offset); }
 
     fleet_layout layout_;
     std::string folder_;
-    int base_port_;
+    port_block ports_;
     std::map<std::string, child_process> processes_;
 };
 
