--- a/include/quincewing/assignment/assignment_table.hpp
+++ b/include/quincewing/assignment/assignment_table.hpp
@@ -33,6 +33,9 @@
     }
 };
 
+/// As "first-last".
+std::string to_string(const key_range& it);
+
 /// One process of a backend server that holds keys. A restart changes `start`, and with it the
 /// holder.
 struct key_holder
--- a/src/libs/assignment/assignment_table.cpp
+++ b/src/libs/assignment/assignment_table.cpp
@@ -7,6 +7,11 @@
 
 namespace quincewing {
 
+std::string to_string(const key_range& it)
+{
+    return std::to_string(it.first) + "-" + std::to_string(it.last);
+}
+
 const assigned_range* assignment_table::find(const service_id& service, key_number key) const
 {
     auto it = std::upper_bound(ranges.begin(), ranges.end(), std::tie(service, key),
