Stop: what has come is read at once before the rest is answered, not by turns of the loop

What callers saw: no answer at all from a host whose turns are long while one answer is read slowly: the rest was given up after the kill.

Cause: before the rest was answered, up to three more turns of the loop were taken while any server's bytes waited unread. The server's side of a slow caller's answer is paused, so its bytes always wait, as those of any long answer do on a busy host; three turns of 0.3 s are longer than the time that is left. Besides, three turns read 12 kB of a response (the library reads 4 kB in one), less than one that is held in full.

Evidence: the new test, turns of 0.3 s, one caller that reads slowly.

When the rest is due, the connections with requests whose answers have not begun are read until nothing is there, then the rest is answered in the same turn. Relayed requests are not read there (they were not before either).

--- a/include/quincewing/http/client_connection.hpp
+++ b/include/quincewing/http/client_connection.hpp
@@ -56,8 +56,8 @@
     /// The connection breaks when the server has acknowledged nothing for so long although bytes
     /// are on their way to it.
     void set_unacknowledged_timeout(duration it);
-    /// Bytes have come that the loop has not read yet.
-    [[nodiscard]] bool unread() const;
+    /// Reads bytes that have come and that the loop has not read yet. False: there are none.
+    bool read_waiting();
     /// When the last response was complete.
     [[nodiscard]] instant last_response_at() const { return last_response_at_; }
     /// Timeout from the Keep-Alive header of the last response; zero when there was none.
@@ -67,6 +67,8 @@
     void connect();
     void on_event(short what);
     void on_readable();
+    /// Appends bytes that wait in the system's buffer to the input. Returns their number.
+    std::size_t read_more();
     void write_request();
     void complete_response();
     void fail(connection_loss how);
--- a/src/libs/http/client_connection.cpp
+++ b/src/libs/http/client_connection.cpp
@@ -5,6 +5,7 @@
 #include "quincewing/net/reset_on_close.hpp"
 #include "quincewing/net/socket_bytes.hpp"
 
+#include <algorithm>
 #include <cerrno>
 #include <cstdlib>
 #include <event2/buffer.h>
@@ -20,6 +21,7 @@
 // Late responses to earlier requests, before the response to the request.
 constexpr std::size_t max_skipped = 32;
 constexpr int first_final_status = 200;
+constexpr std::size_t max_bytes_per_read = 64UL * 1024;
 
 duration parse_keep_alive_timeout(const header_list& headers)
 {
@@ -171,9 +173,36 @@
     pending_.clear();
 }
 
-bool client_connection::unread() const
+bool client_connection::read_waiting()
 {
-    return bev_ != nullptr && connected_ && unread_bytes(bufferevent_getfd(bev_)) > 0;
+    const bool reading =
+        bev_ != nullptr && connected_ && busy_ && (bufferevent_get_enabled(bev_) & EV_READ) != 0;
+    if (!reading || read_more() == 0) {
+        return false;
+    }
+    on_readable();
+    return true;
+}
+
+// Asks before it reads: an error of the socket is for the library to report.
+std::size_t client_connection::read_more()
+{
+    const auto fd = bufferevent_getfd(bev_);
+    const auto waiting = std::min(unread_bytes(fd), max_bytes_per_read);
+    if (waiting == 0) {
+        return 0;
+    }
+    auto* in = bufferevent_get_input(bev_);
+    evbuffer_iovec space{};
+    std::size_t n = 0;
+    evbuffer_unfreeze(in, 0);
+    if (evbuffer_reserve_space(in, static_cast<ev_ssize_t>(waiting), &space, 1) == 1) {
+        n = static_cast<std::size_t>(std::max<ssize_t>(recv(fd, space.iov_base, waiting, 0), 0));
+        space.iov_len = n;
+        evbuffer_commit_space(in, &space, 1);
+    }
+    evbuffer_freeze(in, 0);
+    return n;
 }
 
 void client_connection::set_unacknowledged_timeout(duration it)
--- a/src/plugins/entry/caller_listener.cpp
+++ b/src/plugins/entry/caller_listener.cpp
@@ -181,10 +181,12 @@
     return n;
 }
 
-bool caller_listener::responses_unread() const
+void caller_listener::read_responses()
 {
-    return std::any_of(flows_.begin(), flows_.end(),
-                       [](const auto& it) { return it->response_unread(); });
+    const auto flows = flows_;
+    for (const auto& it : flows) {
+        it->read_response();
+    }
 }
 
 void caller_listener::answer_unfinished()
--- a/src/plugins/entry/caller_listener.hpp
+++ b/src/plugins/entry/caller_listener.hpp
@@ -37,8 +37,8 @@
     [[nodiscard]] bool may_start_requests() const { return monotonic_now() < last_start_; }
     /// Stops listening, and refuses the requests that are not at a server.
     void refuse_unsent_requests();
-    /// Bytes of a server's response can be read in the next turn of the loop.
-    [[nodiscard]] bool responses_unread() const;
+    /// Reads what has come of servers' responses to requests whose answers have not begun.
+    void read_responses();
     /// Answers all requests that are being handled, and logs them: the process ends soon. Answers
     /// that have begun go on.
     void answer_unfinished();
--- a/src/plugins/entry/entry_host_stop.cpp
+++ b/src/plugins/entry/entry_host_stop.cpp
@@ -10,9 +10,6 @@
 
 namespace {
 
-// A process that was suspended runs its timers before it reads its sockets, and one turn of the
-// loop reads only a part of a long response.
-constexpr int turns_of_last_reads = 3;
 // How often a host that ends looks whether its answers have left it.
 constexpr millis sent_look_period{20};
 // Messages to other hosts leave the socket's buffer in this time.
@@ -45,9 +42,7 @@
     if (now >= stop_steps.close_idle) {
         listener.close_idle_connections();
     }
-    // The end's own timer goes on once per turn of the loop.
-    const bool reads_last = stop_notes.last_reads > 0 && !stop_notes.rest_answered;
-    if (now >= stop_steps.refuse_unsent && !reads_last) {
+    if (now >= stop_steps.refuse_unsent) {
         look_for_end();
     }
 }
@@ -68,12 +63,9 @@
     const auto end = end_at(stop_steps, late);
     const bool whole = !stop_notes.rest_answered && nothing_open();
     if (!whole && !stop_notes.rest_answered && now >= answer_rest) {
-        if (stop_notes.last_reads < turns_of_last_reads && listener.responses_unread()) {
-            ++stop_notes.last_reads;
-            end_timer.once(duration{0});
-            return;
-        }
         stop_notes.rest_answered = true;
+        // A process that was suspended runs its timers before it reads its sockets.
+        listener.read_responses();
         listener.answer_unfinished();
         // Answers are written in the next turn of the loop.
         end_timer.once(sent_look_period);
--- a/src/plugins/entry/request_flow.hpp
+++ b/src/plugins/entry/request_flow.hpp
@@ -43,8 +43,8 @@
     }
     /// It has no slot at a server: it waits for one, or for an owner of its key.
     [[nodiscard]] bool waiting() const;
-    /// Bytes of the server's response can be read in the next turn of the loop.
-    [[nodiscard]] bool response_unread() const { return connection_ && connection_->unread(); }
+    /// Reads what has come of the server's response, until the answer begins.
+    void read_response();
     /// The host begins to stop.
     void on_host_stops();
     /// Refuses a request that is not at a server, since this host is about to end.
--- a/src/plugins/entry/request_flow_server.cpp
+++ b/src/plugins/entry/request_flow_server.cpp
@@ -96,6 +96,13 @@
     return head_action::accept;
 }
 
+void request_flow::read_response()
+{
+    const auto self = shared_from_this();
+    while (connection_ && !ended_ && !exchange_->begun() && connection_->read_waiting()) {
+    }
+}
+
 // A response that has begun and breaks off takes along what was started behind it.
 std::size_t request_flow::max_held_response() const
 {
--- a/src/plugins/entry/stop_record.hpp
+++ b/src/plugins/entry/stop_record.hpp
@@ -13,8 +13,6 @@
     stop_signal signal;
     /// Largest delay of a tick since the stop began.
     duration tick_delay{};
-    /// Turns of the loop that have read what was there when the rest was due to be answered.
-    int last_reads{};
     /// What servers had not answered was answered.
     bool rest_answered{};
     /// Since then all answers have left the process.
--- a/tests/auto/entry/entry_late_stop_test.cpp
+++ b/tests/auto/entry/entry_late_stop_test.cpp
@@ -79,6 +79,37 @@
     }
 }
 
+// Guards against a late end of hosts that wait for what they cannot read: the server's side of a
+// slow caller's answer is paused.
+TEST_CASE(
+    "entry stop: a host whose loop is late ends in time though an answer is being read slowly")
+{
+    constexpr std::size_t answer_bytes = 4'000'000;
+    constexpr millis turn{300};
+    constexpr int callers = 3;
+    late_stop_run it{{.service_time = longer_than_grace,
+                      .answer_bytes = answer_bytes,
+                      .route_timeout = seconds{30},
+                      .prompt_ids = "slow"}};
+    auto& slow = it.add_caller({.bytes = post_request("slow"),
+                                .send_after = millis{-800},
+                                .bytes_per_second = 1'000,
+                                .receive_buffer = 16 * 1024});
+    std::vector<thread_caller*> all;
+    all.reserve(callers);
+    for (int i = 0; i < callers; ++i) {
+        all.push_back(&it.add_caller(
+            {.bytes = post_request("r" + std::to_string(i)), .send_after = millis{1000}}));
+    }
+    it.slow_down(turn);
+    it.run();
+    CHECK(slow.status() == "200");
+    for (const auto* caller : all) {
+        check_answered_at_end(it, *caller);
+    }
+    CHECK(it.ended_after() > duration{0});
+}
+
 // Guards against answers that are cut at the end although there is time left to send them.
 TEST_CASE("entry stop: a caller that reads slowly gets its answer until just before the kill")
 {
--- a/tests/auto/entry/small_deployment.hpp
+++ b/tests/auto/entry/small_deployment.hpp
@@ -31,6 +31,8 @@
     std::uint64_t answer_buffer{256UL * 1024};
     /// Time from the stop signal until the process is killed.
     duration grace{seconds{6}};
+    /// The requests whose ids begin with this are answered at once; empty: none.
+    std::string prompt_ids{};
 };
 
 /// An in-memory store and one backend server on the test's event loop, for one entry host. Requests
@@ -61,6 +63,7 @@
     [[nodiscard]] store_page read_page(store_stream name, log_offset from);
     store_append_result append(store_stream name, store_record record,
                                std::optional<log_offset> at);
+    [[nodiscard]] duration service_time_of(const std::string& id) const;
     void on_request(evhttp_request* request);
 
     event_loop& loop_;
