HTTP: a long response takes a late loop few turns

What callers saw: 502 at the end of a stop, and late answers on hosts that do not stop, though their server had answered long before: an answer that is held in full reaches the host at 4 kB a turn of the loop, and leaves it at 16 kB a turn.

Cause: the library reads 4 kB of a connection in one turn, whatever has come, and writes 16 kB. A response of 120 kB takes 30 turns: 3 s where a turn takes 0.1 s.

After a full read the connection takes up to 64 kB more with one call; callers get up to 256 kB in one turn. Short responses cost no further call. Errors of the socket are left to the library: bytes are read only where the system tells that there are some.

--- a/include/quincewing/http/client_connection.hpp
+++ b/include/quincewing/http/client_connection.hpp
@@ -66,6 +66,7 @@
 private:
     void connect();
     void on_event(short what);
+    void on_input();
     void on_readable();
     /// Appends bytes that wait in the system's buffer to the input. Returns their number.
     std::size_t read_more();
--- a/src/libs/http/client_connection.cpp
+++ b/src/libs/http/client_connection.cpp
@@ -21,6 +21,7 @@
 // Late responses to earlier requests, before the response to the request.
 constexpr std::size_t max_skipped = 32;
 constexpr int first_final_status = 200;
+constexpr std::size_t bytes_per_read_of_library = 4096;
 constexpr std::size_t max_bytes_per_read = 64UL * 1024;
 
 duration parse_keep_alive_timeout(const header_list& headers)
@@ -90,7 +91,7 @@
     const auto fd = options_.from.empty() ? -1 : open_socket_from(options_.from);
     bev_ = bufferevent_socket_new(loop_.base(), fd, BEV_OPT_CLOSE_ON_FREE);
     bufferevent_setcb(
-        bev_, [](bufferevent*, void* arg) { static_cast<client_connection*>(arg)->on_readable(); },
+        bev_, [](bufferevent*, void* arg) { static_cast<client_connection*>(arg)->on_input(); },
         nullptr,
         [](bufferevent*, short what, void* arg) {
             static_cast<client_connection*>(arg)->on_event(what);
@@ -226,6 +227,15 @@
     return hooks_.on_head ? hooks_.on_head(head) : head_action::accept;
 }
 
+// The library reads little in each turn of the loop, so that a long response would take many turns.
+void client_connection::on_input()
+{
+    if (evbuffer_get_length(bufferevent_get_input(bev_)) >= bytes_per_read_of_library) {
+        read_more();
+    }
+    on_readable();
+}
+
 void client_connection::on_readable()
 {
     while (bev_ != nullptr) {
--- a/src/plugins/entry/caller_connection.cpp
+++ b/src/plugins/entry/caller_connection.cpp
@@ -19,6 +19,8 @@
 // Bytes of pipelined requests that are read ahead. Reading goes on while requests are handled, so
 // that a disconnect is noticed.
 constexpr std::size_t max_read_ahead = 64UL * 1024;
+// Bytes of responses that are written in one turn of the loop.
+constexpr std::size_t max_bytes_per_write = 256UL * 1024;
 // Time that a caller has to close a connection after a response that announced the close.
 constexpr seconds linger_timeout{2};
 
@@ -56,6 +58,7 @@
             }
         },
         this);
+    bufferevent_set_max_single_write(bev_, max_bytes_per_write);
     bufferevent_enable(bev_, EV_READ | EV_WRITE);
 }
 
--- a/tests/auto/entry/entry_late_stop_test.cpp
+++ b/tests/auto/entry/entry_late_stop_test.cpp
@@ -110,6 +110,23 @@
     CHECK(it.ended_after() > duration{0});
 }
 
+// Guards against answers that are given up though all of their bytes had come to the host.
+TEST_CASE("entry stop: a response that has come to a late host reaches its caller")
+{
+    constexpr std::size_t answer_bytes = 120'000;
+    constexpr millis turn{100};
+    late_stop_run it{{.service_time = millis{1'500},
+                      .answer_bytes = answer_bytes,
+                      .retry = retry_policy::idempotent,
+                      .route_timeout = seconds{30}}};
+    auto& caller = it.add_caller({.bytes = post_request("a"), .send_after = millis{1000}});
+    it.slow_down(turn);
+    it.run();
+    CHECK_MESSAGE(caller.status() == "200", caller.received());
+    CHECK(caller.received().size() > answer_bytes);
+    CHECK(it.ended_after() > duration{0});
+}
+
 // Guards against answers that are cut at the end although there is time left to send them.
 TEST_CASE("entry stop: a caller that reads slowly gets its answer until just before the kill")
 {
--- a/tests/auto/http/client_connection_test.cpp
+++ b/tests/auto/http/client_connection_test.cpp
@@ -219,3 +219,43 @@
     CHECK(reusable);
     CHECK(ended);
 }
+
+// Guards against responses that take a late loop many turns to read, though all of their bytes have
+// come.
+TEST_CASE("client connection: a long response is read in few turns of the loop")
+{
+    constexpr std::size_t body_bytes = 40'000;
+    constexpr int few_turns = 3;
+    event_loop loop;
+    testing::raw_server server{loop};
+    client_connection connection{loop, {.address = server.address()}};
+    server.on_received = [&] {
+        server.send_and_close(testing::response_to("a", std::string(body_bytes, '.')));
+    };
+    int turns = 0;
+    std::optional<int> begun_in;
+    std::size_t received = 0;
+    bool ended = false;
+    timer turn{loop, [&] {
+                   ++turns;
+                   turn.once(duration{0});
+               }};
+    turn.once(duration{0});
+    timer limit{loop, [&] { loop.stop(); }};
+    limit.once(seconds{5});
+    connection.send("GET / HTTP/1.1\r\n\r\n", "", true,
+                    {.on_body =
+                         [&](const char*, std::size_t n) {
+                             begun_in = begun_in.value_or(turns);
+                             received += n;
+                         },
+                     .on_end =
+                         [&](bool) {
+                             ended = true;
+                             loop.stop();
+                         }});
+    loop.run();
+    CHECK(ended);
+    CHECK(received == body_bytes);
+    CHECK(turns - begun_in.value_or(0) <= few_turns);
+}
