--- a/src/libs/http/client_connection.cpp
+++ b/src/libs/http/client_connection.cpp
@@ -5,6 +5,7 @@
 #include "quincewing/net/reset_on_close.hpp"
 #include "quincewing/net/socket_bytes.hpp"
 
+#include <algorithm>
 #include <cerrno>
 #include <cstdlib>
 #include <event2/buffer.h>
@@ -20,6 +21,8 @@
 // Late responses to earlier requests, before the response to the request.
 constexpr std::size_t max_skipped = 32;
 constexpr int first_final_status = 200;
+constexpr std::size_t bytes_per_read_of_library = 4096;
+constexpr std::size_t max_bytes_per_read = 64UL * 1024;
 
 duration parse_keep_alive_timeout(const header_list& headers)
 {
@@ -88,7 +91,7 @@
     const auto fd = options_.from.empty() ? -1 : open_socket_from(options_.from);
     bev_ = bufferevent_socket_new(loop_.base(), fd, BEV_OPT_CLOSE_ON_FREE);
     bufferevent_setcb(
-        bev_, [](bufferevent*, void* arg) { static_cast<client_connection*>(arg)->on_readable(); },
+        bev_, [](bufferevent*, void* arg) { static_cast<client_connection*>(arg)->on_input(); },
         nullptr,
         [](bufferevent*, short what, void* arg) {
             static_cast<client_connection*>(arg)->on_event(what);
@@ -171,9 +174,36 @@
     pending_.clear();
 }
 
-bool client_connection::unread() const
+bool client_connection::read_waiting()
 {
-    return bev_ != nullptr && connected_ && unread_bytes(bufferevent_getfd(bev_)) > 0;
+    const bool reading =
+        bev_ != nullptr && connected_ && busy_ && (bufferevent_get_enabled(bev_) & EV_READ) != 0;
+    if (!reading || read_more() == 0) {
+        return false;
+    }
+    on_readable();
+    return true;
+}
+
+// Asks before it reads: an error of the socket is for the library to report.
+std::size_t client_connection::read_more()
+{
+    const auto fd = bufferevent_getfd(bev_);
+    const auto waiting = std::min(unread_bytes(fd), max_bytes_per_read);
+    if (waiting == 0) {
+        return 0;
+    }
+    auto* in = bufferevent_get_input(bev_);
+    evbuffer_iovec space{};
+    std::size_t n = 0;
+    evbuffer_unfreeze(in, 0);
+    if (evbuffer_reserve_space(in, static_cast<ev_ssize_t>(waiting), &space, 1) == 1) {
+        n = static_cast<std::size_t>(std::max<ssize_t>(recv(fd, space.iov_base, waiting, 0), 0));
+        space.iov_len = n;
+        evbuffer_commit_space(in, &space, 1);
+    }
+    evbuffer_freeze(in, 0);
+    return n;
 }
 
 void client_connection::set_unacknowledged_timeout(duration it)
@@ -197,6 +227,15 @@
     return hooks_.on_head ? hooks_.on_head(head) : head_action::accept;
 }
 
+// The library reads little in each turn of the loop, so that a long response would take many turns.
+void client_connection::on_input()
+{
+    if (evbuffer_get_length(bufferevent_get_input(bev_)) >= bytes_per_read_of_library) {
+        read_more();
+    }
+    on_readable();
+}
+
 void client_connection::on_readable()
 {
     while (bev_ != nullptr) {
