Host mode: answers that lie in the sockets are read before a stop gives the rest up

Callers saw: 504 "unknown" at the end of a stop, though their server had answered while the host did not run.

Cause: a process that was suspended runs the timers that are due before it reads its sockets, so the tick of the end gave requests up with their answers unread. The entry host reads first; the host mode did not.

Now up to three more turns of the loop read what is there, as long as bytes of a server's answer, or of a link to another host, wait unread and a request is open.

--- a/include/quincewing/backends/backend_pool.hpp
+++ b/include/quincewing/backends/backend_pool.hpp
@@ -52,6 +52,8 @@
 
     [[nodiscard]] const std::string& address() const { return address_; }
     [[nodiscard]] const backend_counts& counts() const { return counts_; }
+    /// Bytes of an answer that is waited for came and were not read yet.
+    [[nodiscard]] bool answers_unread() const;
     [[nodiscard]] std::size_t connections() const { return connections_.size(); }
 
 private:
--- a/include/quincewing/host/host_task.hpp
+++ b/include/quincewing/host/host_task.hpp
@@ -75,6 +75,9 @@
 
     // The stop.
     void advance_stop(instant now);
+    /// Whether the end waits for answers that came and were not read yet.
+    bool reads_last();
+    [[nodiscard]] bool answers_unread() const;
     void refuse_waiting(instant now);
     void refuse_stopping(const exchange_ptr& it);
     /// Whether the request may be sent to a server or another host at this time.
@@ -133,6 +136,8 @@
     std::optional<stop_schedule> stop_;
     /// What waited for a server has been refused.
     bool refusing_{};
+    int last_reads_{};
+    timer last_reads_timer_;
     std::function<void()> stopped_;
 };
 
--- a/include/quincewing/peers/peers_task.hpp
+++ b/include/quincewing/peers/peers_task.hpp
@@ -82,6 +82,8 @@
                  std::function<void(forward_failure)> failed);
     /// No answer to a forwarded request waits in this process any more.
     [[nodiscard]] bool answers_sent() const;
+    /// Bytes came on a link to another host and were not read yet.
+    [[nodiscard]] bool bytes_unread() const;
     [[nodiscard]] bool connected(const host_id& host) const;
     /// Hosts to which a link stands, in order of their addresses.
     [[nodiscard]] const std::vector<host_id>& connected_hosts() const { return connected_; }
--- a/src/plugins/backends/backend_connection.cpp
+++ b/src/plugins/backends/backend_connection.cpp
@@ -1,6 +1,7 @@
 #include "backend_connection.hpp"
 
 #include "quincewing/net/endpoint.hpp"
+#include "quincewing/net/socket_bytes.hpp"
 
 #include <algorithm>
 #include <event2/buffer.h>
@@ -57,6 +58,11 @@
     evhttp_connection_free(connection_);
 }
 
+bool backend_connection::unread() const
+{
+    return unread_bytes(bufferevent_getfd(evhttp_connection_get_bufferevent(connection_))) > 0;
+}
+
 void backend_connection::on_written(evbuffer* /*buf*/, const evbuffer_cb_info* info, void* arg)
 {
     auto& self = *static_cast<backend_connection*>(arg);
--- a/src/plugins/backends/backend_connection.hpp
+++ b/src/plugins/backends/backend_connection.hpp
@@ -28,6 +28,8 @@
     /// Bytes of the present request were handed to the socket.
     [[nodiscard]] bool handed() const { return handed_; }
     [[nodiscard]] bool head_received() const { return head_received_; }
+    /// Bytes came on the connection and were not read yet.
+    [[nodiscard]] bool unread() const;
     [[nodiscard]] backend_pool::waiting& current() { return current_; }
     [[nodiscard]] const backend_pool::waiting& current() const { return current_; }
     [[nodiscard]] const request_result& result() const { return result_; }
--- a/src/plugins/backends/backend_pool.cpp
+++ b/src/plugins/backends/backend_pool.cpp
@@ -316,6 +316,12 @@
     other->send(current, now);
 }
 
+bool backend_pool::answers_unread() const
+{
+    return std::any_of(connections_.begin(), connections_.end(),
+                       [](const auto& it) { return it->busy() && it->unread(); });
+}
+
 void backend_pool::sweep(instant now)
 {
     std::vector<backend_connection*> old;
--- a/src/plugins/host/host_task.cpp
+++ b/src/plugins/host/host_task.cpp
@@ -71,7 +71,8 @@
                 self_),
       tick_timer_(loop, [this] { tick(); }), sweep_timer_(loop, [this] { sweep(); }),
       work_timer_(loop, [this] { work(); }), reap_timer_(loop, [] {}),
-      random_(static_cast<std::uint32_t>(stable_hash(self_.value)))
+      random_(static_cast<std::uint32_t>(stable_hash(self_.value))),
+      last_reads_timer_(loop, [this] { advance_stop(monotonic_now()); })
 {
 }
 
@@ -104,7 +105,10 @@
 {
     core_.tick(monotonic_now(), effects_);
     work();
-    advance_stop(monotonic_now());
+    // The last reads take a turn of the loop each.
+    if (last_reads_ == 0) {
+        advance_stop(monotonic_now());
+    }
 }
 
 void host_task::work()
--- a/src/plugins/host/host_task_stop.cpp
+++ b/src/plugins/host/host_task_stop.cpp
@@ -1,5 +1,6 @@
 #include "quincewing/host/host_task.hpp"
 
+#include <algorithm>
 #include <utility>
 
 /// How this host leaves: every request that it has read gets an answer before the process ends.
@@ -9,6 +10,9 @@
 
 // The balancer knows of other hosts by now.
 constexpr millis retry_elsewhere_after{100};
+// A process that was suspended runs its timers before it reads its sockets, and one turn of the
+// loop reads only a part of a long answer.
+constexpr int turns_of_last_reads = 3;
 
 } // namespace
 
@@ -59,12 +63,35 @@
     if (!finished && now < stop_->answer_all_at) {
         return;
     }
+    if (!finished && reads_last()) {
+        return;
+    }
     refusing_ = true;
     answer_all();
     const auto done = std::exchange(stopped_, nullptr);
     done();
 }
 
+bool host_task::reads_last()
+{
+    if (last_reads_ == turns_of_last_reads || !answers_unread()) {
+        return false;
+    }
+    ++last_reads_;
+    last_reads_timer_.once(duration{0});
+    return true;
+}
+
+bool host_task::answers_unread() const
+{
+    if (open_.empty()) {
+        return false;
+    }
+    return peers_.bytes_unread() || std::any_of(pools_.begin(), pools_.end(), [](const auto& it) {
+               return it.second->answers_unread();
+           });
+}
+
 // A request that no server has can be taken by another host, the sooner the better.
 void host_task::refuse_waiting(instant now)
 {
--- a/src/plugins/peers/h2_connection.cpp
+++ b/src/plugins/peers/h2_connection.cpp
@@ -1,5 +1,7 @@
 #include "h2_connection.hpp"
 
+#include "quincewing/net/socket_bytes.hpp"
+
 #include <algorithm>
 #include <cerrno>
 #include <event2/buffer.h>
@@ -357,4 +359,9 @@
     return closed_ || (nghttp2_session_want_write(session_) == 0 && pending_bytes() == 0);
 }
 
+bool h2_connection::bytes_unread() const
+{
+    return !closed_ && unread_bytes(bufferevent_getfd(bev_)) > 0;
+}
+
 } // namespace quincewing
--- a/src/plugins/peers/h2_connection.hpp
+++ b/src/plugins/peers/h2_connection.hpp
@@ -83,6 +83,8 @@
     [[nodiscard]] std::size_t pending_bytes() const;
     /// Nothing waits to be sent.
     [[nodiscard]] bool sent() const;
+    /// Bytes came and were not read yet.
+    [[nodiscard]] bool bytes_unread() const;
     [[nodiscard]] bool closed() const { return closed_; }
 
 private:
--- a/src/plugins/peers/peer_link.hpp
+++ b/src/plugins/peers/peer_link.hpp
@@ -21,6 +21,7 @@
     /// Who answers at the address; without a host until it has told.
     [[nodiscard]] const peer_identity& identity() const { return identity_; }
     [[nodiscard]] bool stands() const { return stands_; }
+    [[nodiscard]] bool bytes_unread() const { return stands_ && connection_->bytes_unread(); }
     [[nodiscard]] const std::string& address() const { return address_; }
 
     /// The process that was last known at the address.
--- a/src/plugins/peers/peers_task.cpp
+++ b/src/plugins/peers/peers_task.cpp
@@ -152,6 +152,12 @@
                        [](const auto& it) { return it->answers_sent(); });
 }
 
+bool peers_task::bytes_unread() const
+{
+    return std::any_of(links_.begin(), links_.end(),
+                       [](const auto& it) { return it.second->bytes_unread(); });
+}
+
 bool peers_task::connected(const host_id& host) const
 {
     return link_to(host) != nullptr;
--- a/tests/failures/stop_test.cpp
+++ b/tests/failures/stop_test.cpp
@@ -39,6 +39,28 @@
     });
 }
 
+/// Stops a host that has 6 s, and suspends it while its server's answer comes, until just before
+/// its end. Returns the status that the caller got, 0 for none.
+int status_after_suspension(const child_process& host, raw_caller& caller)
+{
+    constexpr millis asked{1000};
+    constexpr millis suspended{5200};
+    constexpr millis answered{5400};
+    constexpr millis resumed{5800};
+    const auto begun = std::chrono::steady_clock::now();
+    host.signal(SIGTERM);
+    std::this_thread::sleep_until(begun + asked);
+    if (!caller.get(work_of("boat1", answered - asked))) {
+        return 0;
+    }
+    std::this_thread::sleep_until(begun + suspended);
+    host.signal(SIGSTOP);
+    std::this_thread::sleep_until(begun + resumed);
+    host.signal(SIGCONT);
+    const auto answers = caller.read(1, longest_wait);
+    return answers.empty() ? 0 : answers.front().status;
+}
+
 } // namespace
 
 // The forced end of a stop abandoned what was still open.
@@ -288,6 +310,28 @@
     CHECK(answers.front().status == 504);
 }
 
+// The timers of a process that was suspended run before it reads its sockets.
+TEST_CASE("failure: a host that was suspended gives up a request whose answer lies unread")
+{
+    process_fleet fleet{one_host("6s")};
+    REQUIRE(fleet.wait_served());
+    raw_caller caller{fleet.callers(0)};
+    CHECK(status_after_suspension(fleet.host(0), caller) == 200);
+}
+
+// As above, with the answer on the connection to the host that leads the server.
+TEST_CASE("failure: a host that was suspended gives up a request whose answer from another host "
+          "lies unread")
+{
+    process_fleet fleet{{.hosts_each = 2, .servers_each = 1, .stop_within = "6s"}};
+    REQUIRE(fleet.wait_served());
+    const int leader = fleet.leader_of(0);
+    REQUIRE(leader >= 0);
+    const int other = 1 - leader;
+    raw_caller caller{fleet.callers(other)};
+    CHECK(status_after_suspension(fleet.host(other), caller) == 200);
+}
+
 // Any request was begun until shortly before the end, and then given up.
 TEST_CASE("failure: a stop begins a request that may outlast it")
 {
