Host mode: a signal while the settings are read does not end the process without a stop

Operators saw: a SIGTERM that came while a host of the product's own mode read its settings ended the process at once, with status 143.

Evidence, with serve.cpp as before, start_signal_test.cpp:157: CHECK( host.process().wait() == 0 ) values: CHECK( 143 == 0 )

Now serve() sets the handlers first, as serve_entry() does. What comes before the loop runs is handled when it does. The first look at the settings file, which tells the two modes apart, still comes before.

--- a/src/app/serve.cpp
+++ b/src/app/serve.cpp
@@ -60,12 +60,10 @@
     graceful_stop(event_loop& loop, host_task& host, callers_task& callers,
                   operators_task& operators)
         : loop_(loop), host_(host), callers_(callers), operators_(operators),
-          last_answers_(loop, [this] { look(); }),
-          signals_(loop, [this](const stop_signal& it) { on_signal(it); })
+          last_answers_(loop, [this] { look(); })
     {
     }
 
-private:
     void on_signal(const stop_signal& signal)
     {
         if (host_.stopping()) {
@@ -83,6 +81,7 @@
         });
     }
 
+private:
     // The process ends when every answer has left it, or when its time is over.
     void look()
     {
@@ -99,7 +98,6 @@
     operators_task& operators_;
     timer last_answers_;
     instant messages_until_{};
-    stop_signals signals_;
 };
 
 } // namespace
@@ -123,19 +121,21 @@
     if (is_entry_settings_file(line.settings)) {
         return serve_entry(line);
     }
+    std::signal(SIGPIPE, SIG_IGN);
+    event_loop loop;
+    std::unique_ptr<graceful_stop> stop;
+    // A signal that comes before the loop runs is handled when it does.
+    stop_signals signals{loop, [&](const stop_signal& it) { stop->on_signal(it); }};
     const auto settings = load(line);
     if (!settings) {
         return settings.error();
     }
     start_logging(*settings);
-    std::signal(SIGPIPE, SIG_IGN);
-    event_loop loop;
     const auto self = new_host_id(*settings);
     host_task host{loop, *settings, self};
     callers_task callers{loop, host};
     operators_task operators{loop, host};
-    // Before the first request can come: a signal during the start must not end the process.
-    graceful_stop stop{loop, host, callers, operators};
+    stop = std::make_unique<graceful_stop>(loop, host, callers, operators);
     const bool listening = host.start() && callers.start() && operators.start();
     if (!listening) {
         LOG(ERROR) << "change=cannot_listen about=" << settings->address << " or "
