Entry: a pipelined request goes on when the response that held it back has ended

What callers saw: an idempotent request behind a long response waits for a slower one before both, though its own server is free: late, or its deadline.

Cause: since no request is started behind a response that has begun, one that comes in that time waits for its end; but requests were started only when the connection's first response ended or another request came.

The end of any response starts what it held back.

--- a/src/plugins/entry/caller_exchange.cpp
+++ b/src/plugins/entry/caller_exchange.cpp
@@ -161,6 +161,10 @@
         evbuffer_add(out_, "0\r\n\r\n", 5);
     }
     connection_->flush_responses();
+    // Responses before this one may still be due.
+    if (!disconnected()) {
+        connection_->start_requests();
+    }
 }
 
 void caller_exchange::abort()
--- a/tests/auto/entry/server_end_test.cpp
+++ b/tests/auto/entry/server_end_test.cpp
@@ -309,3 +309,28 @@
     });
     CHECK(it.server.received().find("X-Request: b") != std::string::npos);
 }
+
+// Guards against a pipelined request that waits for the first response of its connection, though
+// the one that it was held back for has ended.
+TEST_CASE("entry server end: a request behind a long response does not wait for another one")
+{
+    server_end_run it{{.retry = retry_policy::idempotent}};
+    const auto whole = response_to("b", std::string(200'000, '.'));
+    std::unique_ptr<raw_caller> caller;
+    timer begin{it.loop, [&] { it.server.send(whole.substr(0, 100'000), 1); }};
+    timer pipeline{it.loop, [&] { caller->send(post_request("c")); }};
+    timer end{it.loop, [&] { it.server.send(whole.substr(100'000), 1); }};
+    bool held_back = false;
+    timer look{it.loop,
+               [&] { held_back = it.server.received().find("X-Request: c") == std::string::npos; }};
+    it.run(millis{1200}, [&] {
+        caller = std::make_unique<raw_caller>(it.loop, it.callers());
+        caller->send(post_request("a") + post_request("b"));
+        begin.once(millis{200});
+        pipeline.once(millis{350});
+        look.once(millis{500});
+        end.once(millis{600});
+    });
+    CHECK(held_back);
+    CHECK(it.server.received().find("X-Request: c") != std::string::npos);
+}
