Entry: no request is started behind a response that has broken off

What callers saw: a request was run and dropped at its server with no answer: it came behind a response that had broken off and waited for the one before it.

Cause: such a response counted as ended, though nothing can be sent after it: the connection closes there.

--- a/src/plugins/entry/caller_connection.cpp
+++ b/src/plugins/entry/caller_connection.cpp
@@ -207,7 +207,7 @@
         if (!it->started_ && response_open) {
             return;
         }
-        response_open = response_open || (it->begun_ && !it->ended_);
+        response_open = response_open || (it->begun_ && (!it->ended_ || it->aborted_));
         all_idempotent = all_idempotent && idempotent;
         if (it->started_) {
             continue;
--- a/tests/auto/entry/server_end_test.cpp
+++ b/tests/auto/entry/server_end_test.cpp
@@ -334,3 +334,25 @@
     CHECK(held_back);
     CHECK(it.server.received().find("X-Request: c") != std::string::npos);
 }
+
+// Guards against a pipelined request that is sent to a server and dropped there, behind a response
+// that has broken off and waits for the one before it.
+TEST_CASE("entry server end: no request is sent behind a response that has broken off")
+{
+    server_end_run it{{.retry = retry_policy::idempotent}};
+    const auto whole = response_to("b", std::string(200'000, '.'));
+    std::unique_ptr<raw_caller> caller;
+    timer break_off{it.loop, [&] { it.server.send_and_close(whole.substr(0, 30'000), 1); }};
+    timer pipeline{it.loop, [&] { caller->send(post_request("c")); }};
+    timer respond{it.loop, [&] { it.server.send(response_to("a", "ok"), 0); }};
+    it.run(millis{1200}, [&] {
+        caller = std::make_unique<raw_caller>(it.loop, it.callers());
+        caller->send(post_request("a") + post_request("b"));
+        break_off.once(millis{200});
+        pipeline.once(millis{400});
+        respond.once(millis{700});
+    });
+    CHECK(it.server.received().find("X-Request: c") == std::string::npos);
+    CHECK(caller->received().starts_with("HTTP/1.1 200"));
+    CHECK(caller->closed());
+}
