--- a/tests/auto/entry/small_deployment.hpp
+++ b/tests/auto/entry/small_deployment.hpp
@@ -13,6 +13,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace quincewing::testing {
@@ -32,7 +33,7 @@
     /// Time from the stop signal until the process is killed.
     duration grace{seconds{6}};
     /// The requests whose ids begin with this are answered at once; empty: none.
-    std::string prompt_ids{};
+    std::string_view prompt_ids;
 };
 
 /// An in-memory store and one backend server on the test's event loop, for one entry host. Requests
