Failure tests: the test's own server has a port of the test's block

Cause: the port was fixed, 127.0.0.1:11990, which lies in a block that another test process may have (11800 to 12099). Who had it then is not known; two minutes later nothing listened there.

Now it is one of the process's own block.

--- a/tests/failures/stop_test.cpp
+++ b/tests/failures/stop_test.cpp
@@ -1,4 +1,5 @@
 #include "broken_server.hpp"
+#include "port_block.hpp"
 #include "process_fleet.hpp"
 #include "raw_caller.hpp"
 
@@ -239,10 +240,11 @@
 // What has not left the host yet can still be replaced.
 TEST_CASE("failure: a caller has no answer when the server breaks off one that was not passed on")
 {
-    broken_server server{"127.0.0.1:11990"};
+    const auto address = free_address();
+    broken_server server{address};
     REQUIRE(server.listening());
     auto layout = one_host("10s");
-    layout.server_at = "127.0.0.1:11990";
+    layout.server_at = address;
     process_fleet fleet{layout};
     REQUIRE(fleet.wait_served());
     raw_caller caller{fleet.callers(0)};
