Links: a silent link ends only requests that can be sent again

What callers saw: 502 host_lost, at the host that has the caller, for a request at which a server is at work, when the host that it goes by way of did not run for 2.6 s. Also on a host that stops, where the rule excuses no silence, and for idempotent requests there.

Cause: a link between hosts that is silent for 1.6 s was closed as a whole, with all requests that had been handed over on it. By reading, the close also made the other host abort the server's run.

Change: the link is made anew as before, with the same news to dispatch and membership. The silent connection takes nothing new, drops its stream of messages and is kept (silent_connections) while requests are under way on it that must run at most once, whose answer has begun, or that are those of a host that stops. The others fail as before. It ends with the last of them, when it breaks, or when another process is known to be at the address. There are never more such connections than such requests. The same in the product's own mode. The forms of messages are as they were.

Of the product's own mode no test was run.

--- a/include/quincewing/host/host_task.hpp
+++ b/include/quincewing/host/host_task.hpp
@@ -89,8 +89,7 @@
     void serve_there(const host_id& leader, const exchange_ptr& it);
     void on_answer(const final_answer& answer);
     void on_finished(const exchange_ptr& it, const request_result& result);
-    void on_forward_failed(const exchange_ptr& it, const server_id& server,
-                           const forward_failure& how);
+    void on_forward_failed(const exchange_ptr& it, const forward_failure& how);
     /// Whether the answer is withheld because another try may do better.
     bool try_again(const exchange_ptr& it, const response_head& head);
     void watch_answer(const exchange_ptr& it);
--- a/include/quincewing/peers/peers_task.hpp
+++ b/include/quincewing/peers/peers_task.hpp
@@ -21,6 +21,7 @@
 
 class peer_link;
 class peer_session;
+class silent_connections;
 
 struct peers_counts
 {
@@ -58,6 +59,15 @@
     bool handed_over{};
 };
 
+struct forward_hooks
+{
+    /// No answer began.
+    std::function<void(forward_failure)> failed;
+    /// Asked when the other host has gone silent: whether the request stays with it as long as the
+    /// connection stands. Otherwise it fails. May be empty: it stays.
+    std::function<bool()> outlasts_silence;
+};
+
 /// Connections to the other entry hosts: messages and forwarded requests on HTTP/2 streams.
 class peers_task
 {
@@ -78,8 +88,7 @@
     void send_to_older(const message& body, spoken_version than);
     /// Sends the request to the host that leads its server. The answer goes to the exchange;
     /// failed is called instead when none began.
-    void forward(const host_id& to, const exchange_ptr& it,
-                 std::function<void(forward_failure)> failed);
+    void forward(const host_id& to, const exchange_ptr& it, forward_hooks hooks);
     /// No answer to a forwarded request waits in this process any more.
     [[nodiscard]] bool answers_sent() const;
     [[nodiscard]] bool connected(const host_id& host) const;
@@ -91,6 +100,8 @@
     [[nodiscard]] const peer_identity* identity_of(const host_id& host) const;
     /// Number of other hosts that were not forgotten, whether or not a link to them stands.
     [[nodiscard]] std::size_t known_hosts() const { return links_.size(); }
+    /// Connections that went silent and still carry requests.
+    [[nodiscard]] std::size_t silent_connection_count() const;
     [[nodiscard]] const peers_counts& counts() const { return counts_; }
 
 private:
@@ -104,6 +115,7 @@
     void drop_link(const std::string& address);
     void on_refused(peer_link& it);
     void on_identity(peer_link& it);
+    void on_process_gone(const host_id& host);
     void on_link_change();
     void send_where(const message& body, const std::function<bool(const peer_identity&)>& wanted);
     peer_link* link_to(const host_id& host) const;
@@ -113,6 +125,7 @@
     peers_hooks hooks_;
     peers_counts counts_;
     evconnlistener* listener_{};
+    std::unique_ptr<silent_connections> silent_;
     std::map<std::string, std::unique_ptr<peer_link>> links_;
     std::vector<host_id> connected_;
     std::uint64_t connected_version_{};
--- a/src/plugins/entry/relayed_request.cpp
+++ b/src/plugins/entry/relayed_request.cpp
@@ -46,14 +46,24 @@
     };
     sent_ = true;
     hooks_.on_sent();
-    peers.forward(options_.relay_host, exchange_, [self](const forward_failure& failure) {
-        const auto it = self.lock();
-        if (!it) {
-            return;
-        }
-        it->sent_ = failure.handed_over;
-        it->lose(failure.handed_over ? connection_loss::host_lost : connection_loss::not_connected);
-    });
+    peers.forward(options_.relay_host, exchange_,
+                  {.failed =
+                       [self](const forward_failure& failure) {
+                           if (const auto it = self.lock()) {
+                               it->on_failed(failure);
+                           }
+                       },
+                   .outlasts_silence =
+                       [self] {
+                           const auto it = self.lock();
+                           return it && it->options_.outlasts_silence();
+                       }});
+}
+
+void relayed_request::on_failed(const forward_failure& failure)
+{
+    sent_ = failure.handed_over;
+    lose(sent_ ? connection_loss::host_lost : connection_loss::not_connected);
 }
 
 void relayed_request::on_head(const response_head& head)
--- a/src/plugins/entry/relayed_request.hpp
+++ b/src/plugins/entry/relayed_request.hpp
@@ -22,6 +22,8 @@
     std::string request_id;
     bool idempotent{};
     instant deadline;
+    /// See forward_hooks.
+    std::function<bool()> outlasts_silence;
 };
 
 /// A request that goes to its server by way of another entry host, because this one does not reach
@@ -43,6 +45,7 @@
     [[nodiscard]] const host_id& relay_host() const { return options_.relay_host; }
 
 private:
+    void on_failed(const forward_failure& failure);
     void on_head(const response_head& head);
     bool on_body(evbuffer* data);
     void on_end(bool complete);
--- a/src/plugins/entry/request_flow.hpp
+++ b/src/plugins/entry/request_flow.hpp
@@ -86,6 +86,9 @@
     void send();
     [[nodiscard]] duration max_idle() const;
     [[nodiscard]] server_channel_hooks channel_hooks();
+    /// Whether the request is sent again when its server, or the host that it goes by way of, is
+    /// silent.
+    [[nodiscard]] bool may_repeat_after_silence() const;
     /// Time without an acknowledgement after which the connection to the server breaks.
     [[nodiscard]] duration silence_timeout() const;
     void send_directly();
--- a/src/plugins/entry/request_flow_send.cpp
+++ b/src/plugins/entry/request_flow_send.cpp
@@ -84,10 +84,14 @@
             .on_lost = [this](connection_loss how) { on_lost(how); }};
 }
 
+bool request_flow::may_repeat_after_silence() const
+{
+    return idempotent() && !exchange_->host_stops();
+}
+
 duration request_flow::silence_timeout() const
 {
-    const bool may_repeat = idempotent() && !exchange_->host_stops();
-    return server_connections::silence_timeout(may_repeat, exchange_->body.size());
+    return server_connections::silence_timeout(may_repeat_after_silence(), exchange_->body.size());
 }
 
 void request_flow::on_host_stops()
@@ -116,13 +120,15 @@
     }
     relays_tried_.insert(*relay_host);
     relayed_ = std::make_shared<relayed_request>(
-        relayed_request_options{.relay_host = *relay_host,
-                                .server = server_.id,
-                                .method = exchange_->head.method,
-                                .bytes = server_request_head() + exchange_->body,
-                                .request_id = id_,
-                                .idempotent = idempotent(),
-                                .deadline = monotonic_now() + time_left()},
+        relayed_request_options{
+            .relay_host = *relay_host,
+            .server = server_.id,
+            .method = exchange_->head.method,
+            .bytes = server_request_head() + exchange_->body,
+            .request_id = id_,
+            .idempotent = idempotent(),
+            .deadline = monotonic_now() + time_left(),
+            .outlasts_silence = [this] { return relaying_ || !may_repeat_after_silence(); }},
         channel_hooks());
     ++context_.metrics.counter("quincewing_relayed_total");
     const auto keep = relayed_;
--- a/src/plugins/host/host_task_requests.cpp
+++ b/src/plugins/host/host_task_requests.cpp
@@ -24,6 +24,12 @@
            why == refusal::shutting_down;
 }
 
+// With an idempotency key the ledger tells whether it ran.
+bool may_run_again(const exchange& it)
+{
+    return it.request.idempotent || !it.request.idempotency_key.empty();
+}
+
 } // namespace
 
 void host_task::handle(const exchange_ptr& it)
@@ -172,23 +178,19 @@
 void host_task::serve_there(const host_id& leader, const exchange_ptr& it)
 {
     it->handed_over = true;
-    peers_.forward(leader, it, [this, it, server = it->server](forward_failure how) {
-        on_forward_failed(it, server, how);
-    });
+    peers_.forward(leader, it,
+                   {.failed = [this, it](forward_failure how) { on_forward_failed(it, how); },
+                    .outlasts_silence =
+                        [this, it] { return it->head_sent || stopping() || !may_run_again(*it); }});
 }
 
-void host_task::on_forward_failed(const exchange_ptr& it, const server_id& /*server*/,
-                                  const forward_failure& how)
+void host_task::on_forward_failed(const exchange_ptr& it, const forward_failure& how)
 {
     if (it->ended) {
         return;
     }
     it->abort = nullptr;
-    // With an idempotency key the ledger tells whether it ran; without one only an idempotent
-    // request may be sent again.
-    const bool repeatable =
-        !how.handed_over || it->request.idempotent || !it->request.idempotency_key.empty();
-    if (!repeatable) {
+    if (how.handed_over && !may_run_again(*it)) {
         answer(it, {.verdict = verdict::unknown, .why = refusal::server_failed});
         return;
     }
--- a/src/plugins/peers/h2_connection.cpp
+++ b/src/plugins/peers/h2_connection.cpp
@@ -258,6 +258,7 @@
 
 void h2_connection::reset(h2_stream& it)
 {
+    evbuffer_drain(it.outgoing, evbuffer_get_length(it.outgoing));
     nghttp2_submit_rst_stream(session_, NGHTTP2_FLAG_NONE, it.id, NGHTTP2_CANCEL);
     flush_timer_.soon();
 }
--- a/src/plugins/peers/h2_connection.hpp
+++ b/src/plugins/peers/h2_connection.hpp
@@ -68,6 +68,7 @@
     bool write(h2_stream& it, evbuffer* data);
     bool write(h2_stream& it, const std::string& data);
     void end(h2_stream& it);
+    /// Ends the stream without what waits on it.
     void reset(h2_stream& it);
     /// Lets the peer send as many bytes more on the stream.
     void consume(std::int32_t stream, std::size_t n);
--- a/src/plugins/peers/peer_link.hpp
+++ b/src/plugins/peers/peer_link.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "h2_connection.hpp"
+#include "peer_connection.hpp"
 
 #include "quincewing/peers/peers_task.hpp"
 
@@ -17,7 +17,7 @@
     peer_link(event_loop& loop, peers_task& owner, std::string address);
 
     void send(const std::string& data);
-    void forward(const exchange_ptr& it, std::function<void(forward_failure)> failed);
+    void forward(const exchange_ptr& it, forward_hooks hooks);
     /// Who answers at the address; without a host until it has told.
     [[nodiscard]] const peer_identity& identity() const { return identity_; }
     [[nodiscard]] bool stands() const { return stands_; }
@@ -32,11 +32,13 @@
     void on_closed(int system_error);
     void reconnect_later();
     void check_silence();
+    /// Makes the link anew.
+    void give_up();
 
     event_loop& loop_;
     peers_task& owner_;
     std::string address_;
-    std::unique_ptr<h2_connection> connection_;
+    std::unique_ptr<peer_connection> connection_;
     std::int32_t messages_{-1};
     peer_identity identity_;
     bool stands_{};
--- a/src/plugins/peers/peers_task.cpp
+++ b/src/plugins/peers/peers_task.cpp
@@ -2,6 +2,7 @@
 
 #include "peer_link.hpp"
 #include "peer_session.hpp"
+#include "silent_connections.hpp"
 
 #include "quincewing/base/hash.hpp"
 #include "quincewing/logging/event_log.hpp"
@@ -16,11 +17,11 @@
 
 peers_task::peers_task(event_loop& loop, peers_options options, peers_hooks hooks)
     : loop_(loop), options_(std::move(options)), hooks_(std::move(hooks)),
-      drop_timer_(loop,
-                  [this] {
-                      dropped_.clear();
-                      dropped_links_.clear();
-                  }),
+      silent_(std::make_unique<silent_connections>(loop)), drop_timer_(loop,
+                                                                       [this] {
+                                                                           dropped_.clear();
+                                                                           dropped_links_.clear();
+                                                                       }),
       jitter_(static_cast<std::uint32_t>(stable_hash(options_.self.value)))
 {
 }
@@ -113,7 +114,7 @@
     }
     const auto gone = it.last_known;
     it.last_known = {};
-    hooks_.on_process_gone(gone);
+    on_process_gone(gone);
 }
 
 void peers_task::on_identity(peer_link& it)
@@ -123,11 +124,17 @@
     it.last_known = identity.host;
     on_link_change();
     if (!before.value.empty() && before != identity.host) {
-        hooks_.on_process_gone(before);
+        on_process_gone(before);
     }
     hooks_.on_connected(identity);
 }
 
+void peers_task::on_process_gone(const host_id& host)
+{
+    silent_->fail(host);
+    hooks_.on_process_gone(host);
+}
+
 void peers_task::on_link_change()
 {
     connected_.clear();
@@ -152,6 +159,11 @@
                        [](const auto& it) { return it->answers_sent(); });
 }
 
+std::size_t peers_task::silent_connection_count() const
+{
+    return silent_->size();
+}
+
 bool peers_task::connected(const host_id& host) const
 {
     return link_to(host) != nullptr;
@@ -203,15 +215,14 @@
     }
 }
 
-void peers_task::forward(const host_id& to, const exchange_ptr& it,
-                         std::function<void(forward_failure)> failed)
+void peers_task::forward(const host_id& to, const exchange_ptr& it, forward_hooks hooks)
 {
     auto* link = link_to(to);
     if (link == nullptr) {
-        failed({.handed_over = false});
+        hooks.failed({.handed_over = false});
         return;
     }
-    link->forward(it, std::move(failed));
+    link->forward(it, std::move(hooks));
 }
 
 } // namespace quincewing
