Relay hosts let what must run at most once finish when its host is gone

What callers saw: nothing, as their host was gone; the run of a request that can't be repeated was broken off at its server, with an unknown outcome.

Cause: a relay host cancelled all requests of another host when the connection from it ended, and so closed the server's connection. A host whose own caller leaves lets such a request finish.

Idempotent requests are cancelled as before, and so is what the other host itself gives up.

--- a/include/quincewing/exchange/exchange.hpp
+++ b/include/quincewing/exchange/exchange.hpp
@@ -42,6 +42,8 @@
     bool from_peer{};
     /// That host, if it has introduced itself on the connection.
     host_id peer;
+    /// The connection to that host has ended.
+    bool peer_lost{};
     instant started_at{};
     int attempts{};
     /// Sent to a leader or a server, with the outcome still unknown.
--- a/src/plugins/entry/request_relay.cpp
+++ b/src/plugins/entry/request_relay.cpp
@@ -100,7 +100,7 @@
     const std::weak_ptr<relay> weak = it;
     it->request->abort = [this, weak] {
         if (const auto relay = weak.lock()) {
-            cancel(*relay);
+            on_given_up(*relay);
         }
     };
     it->request->resume = [weak] {
@@ -200,7 +200,19 @@
     end(it);
 }
 
-// The other host has given the request up, or is gone.
+// A request that must run at most once is left to finish when the other host is gone, because a
+// cancelled run would have an unknown outcome.
+void request_relay::on_given_up(relay& it)
+{
+    const bool sent = it.connection && it.connection->sent();
+    if (it.request->peer_lost && !it.request->request.idempotent && sent) {
+        // The other host may have been too slow for the response.
+        it.connection->set_reading(true);
+        return;
+    }
+    cancel(it);
+}
+
 void request_relay::cancel(relay& it)
 {
     if (it.connection) {
--- a/src/plugins/entry/request_relay.hpp
+++ b/src/plugins/entry/request_relay.hpp
@@ -52,6 +52,8 @@
     void on_body(relay& it, const char* buf, std::size_t n);
     void on_end(relay& it, bool reusable);
     void on_lost(relay& it, connection_loss how);
+    /// The other host has given the request up, or is gone.
+    void on_given_up(relay& it);
     void cancel(relay& it);
     /// Tells the other host that there is no response.
     static void tell_loss(const exchange_ptr& to, const char* why, bool sent);
--- a/src/plugins/peers/peer_session.cpp
+++ b/src/plugins/peers/peer_session.cpp
@@ -86,6 +86,7 @@
         request->on_head = nullptr;
         request->on_body = nullptr;
         request->on_end = nullptr;
+        request->peer_lost = error == NGHTTP2_CONNECT_ERROR;
         if (error != NGHTTP2_NO_ERROR && request->abort) {
             request->abort();
         }
--- a/tests/auto/entry/raw_server.cpp
+++ b/tests/auto/entry/raw_server.cpp
@@ -105,6 +105,13 @@
     }
 }
 
+std::size_t raw_server::open_connections() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(connections_.begin(), connections_.end(),
+                      [](const bufferevent* it) { return it != nullptr; }));
+}
+
 void raw_server::send(const std::string& bytes, std::size_t n)
 {
     if (n < connections_.size() && connections_[n] != nullptr) {
--- a/tests/auto/entry/raw_server.hpp
+++ b/tests/auto/entry/raw_server.hpp
@@ -35,6 +35,7 @@
     [[nodiscard]] const std::string& address() const { return address_; }
     /// All bytes received so far.
     [[nodiscard]] const std::string& received() const { return received_; }
+    [[nodiscard]] std::size_t open_connections() const;
     /// Sends on the connection that was the n-th to be accepted.
     void send(const std::string& bytes, std::size_t n = 0);
     void set_reading(bool on);
