--- a/src/plugins/entry/dispatch_task_messages.cpp
+++ b/src/plugins/entry/dispatch_task_messages.cpp
@@ -2,7 +2,6 @@
 
 #include "quincewing/logging/event_log.hpp"
 
-
 /// dispatch_task: messages of other hosts, and their going.
 namespace quincewing {
 
