Log the store's era, and what showed that an owner had ended

Two hypotheses of the incident could not be told apart by the logs. A store that comes back from an older copy looked like an outage: its era was read nowhere. And keys_released wrote proof=none both for a hold that ran out and for a response without a handoff token. Each answer of the store now carries the era that it told, the host logs store_era when it changes, and keys_released names handoff, response or expiry. No decision changes.

--- a/include/quincewing/assignment/coordinator.hpp
+++ b/include/quincewing/assignment/coordinator.hpp
@@ -59,13 +59,26 @@
     bool wait_after_new_term{true};
 };
 
+/// Why the previous owner of a range counts as not holding it any more.
+enum class release_proof
+{
+    /// It answered the release with a handoff token.
+    handoff,
+    /// It answered the release, without a token.
+    response,
+    /// The last grant that it may have had is over.
+    expiry
+};
+
+const char* to_string(release_proof it);
+
 /// Notifications for logs and counters.
 struct coordinator_hooks
 {
     std::function<void(const char* what, const assignment_table& table)> on_term_change;
     std::function<void(const assigned_range&)> on_move_started;
-    /// The previous owner no longer holds the keys; with_handoff: it returned a handoff token.
-    std::function<void(const assigned_range&, bool with_handoff)> on_released;
+    /// The previous owner no longer holds the keys.
+    std::function<void(const assigned_range&, release_proof)> on_released;
     std::function<void(const assigned_range&)> on_grant_fenced;
     /// The owner confirmed a grant of keys that it did not hold.
     std::function<void(const assigned_range&)> on_held;
--- a/include/quincewing/base/ids.hpp
+++ b/include/quincewing/base/ids.hpp
@@ -20,6 +20,9 @@
 using plan_id = strong<struct plan_tag, std::string>;
 /// Offset of a record in the platform's log.
 using log_offset = strong<struct offset_tag, std::uint64_t>;
+/// Rises whenever the store comes back from an older copy; offsets of two eras can't be compared.
+/// 0: not known.
+using store_era = strong<struct era_tag, std::uint64_t>;
 /// A request inside one host.
 using request_id = strong<struct request_tag, std::uint64_t>;
 
--- a/include/quincewing/deployment/store_api.hpp
+++ b/include/quincewing/deployment/store_api.hpp
@@ -57,6 +57,8 @@
     store_status status{store_status::unknown};
     std::vector<store_record> records;
     log_offset end;
+    /// As told by the answer, whatever its status.
+    store_era era;
 };
 
 struct store_append_result
@@ -64,6 +66,8 @@
     store_status status{store_status::unknown};
     /// End of the stream, when the answer tells it.
     log_offset end;
+    /// As told by the answer, whatever its status.
+    store_era era;
 };
 
 /// Asynchronous calls to the store. Each callback is called once.
--- a/src/libs/assignment/coordinator.cpp
+++ b/src/libs/assignment/coordinator.cpp
@@ -9,6 +9,19 @@
 {
 }
 
+const char* to_string(release_proof it)
+{
+    switch (it) {
+    case release_proof::handoff:
+        return "handoff";
+    case release_proof::response:
+        return "response";
+    case release_proof::expiry:
+        return "expiry";
+    }
+    return "";
+}
+
 bool coordinator::acting(instant now) const
 {
     const bool current = !options_.require_recent_read || now - last_read_ < options_.read_validity;
--- a/src/libs/assignment/coordinator_ranges.cpp
+++ b/src/libs/assignment/coordinator_ranges.cpp
@@ -88,7 +88,7 @@
     if (expired) {
         state.released = true;
         if (hooks_.on_released) {
-            hooks_.on_released(range, false);
+            hooks_.on_released(range, release_proof::expiry);
         }
         return;
     }
@@ -196,7 +196,8 @@
     state.handoff = std::move(handoff);
     state.next_call = now;
     if (hooks_.on_released) {
-        hooks_.on_released(range, !state.handoff.empty());
+        hooks_.on_released(range, state.handoff.empty() ? release_proof::response
+                                                        : release_proof::handoff);
     }
     advance_range(now, range);
 }
--- a/src/plugins/entry/coordination_task.cpp
+++ b/src/plugins/entry/coordination_task.cpp
@@ -40,11 +40,11 @@
                                               {"fence", it.fence}});
                 },
             .on_released =
-                [](const assigned_range& it, bool with_handoff) {
+                [](const assigned_range& it, release_proof proof) {
                     log_event("keys_released", {{"keys", to_string(it.keys)},
                                                 {"from", it.previous_owner.id.value},
                                                 {"fence", it.fence},
-                                                {"proof", with_handoff ? "handoff" : "none"}});
+                                                {"proof", to_string(proof)}});
                 },
             .on_grant_fenced =
                 [](const assigned_range& it) {
--- a/src/plugins/entry/entry_host.cpp
+++ b/src/plugins/entry/entry_host.cpp
@@ -26,8 +26,9 @@
 } // namespace
 
 entry_host::tasks::tasks(event_loop& loop_, entry_settings settings_, deployment_api platform_)
-    : loop(loop_), settings(std::move(settings_)), platform(std::move(platform_)),
-      self(new_host_id(settings.peers)),
+    : loop(loop_), settings(std::move(settings_)),
+      store_eras({.on_change = [this](store_era from, store_era to) { on_store_era(from, to); }}),
+      platform(std::move(platform_)), self(new_host_id(settings.peers)),
       view(stable_hash(self.value)), context{loop, settings, platform, view, metrics, self},
       peers(loop,
             {.self = self,
@@ -130,7 +131,7 @@
       refusal_timer(loop, [this] { listener.refuse_unsent_requests(); }),
       end_timer(loop, [this] { look_for_end(); })
 {
-    platform.store = store_calls.wrap(std::move(platform.store));
+    platform.store = store_eras.wrap(store_calls.wrap(std::move(platform.store)));
 }
 
 shared_retry_budget& entry_host::tasks::budget(const service_id& service)
@@ -209,6 +210,11 @@
     }
 }
 
+void entry_host::tasks::on_store_era(store_era from, store_era to)
+{
+    log_event("store_era", {{"from", from.value}, {"to", to.value}});
+}
+
 void entry_host::tasks::log_store_calls()
 {
     const auto counts = store_calls.take_new();
--- a/src/plugins/entry/entry_host_tasks.hpp
+++ b/src/plugins/entry/entry_host_tasks.hpp
@@ -17,6 +17,7 @@
 
 #include "quincewing/deployment/entry_stop_schedule.hpp"
 #include "quincewing/deployment/store_call_counts.hpp"
+#include "quincewing/deployment/store_era_gate.hpp"
 #include "quincewing/entry/entry_host.hpp"
 #include "quincewing/peers/peers_task.hpp"
 
@@ -37,6 +38,7 @@
     /// A host that links to one that stops has not heard of the stop.
     void tell_if_stopping(const host_id& host);
     void log_store_calls();
+    void on_store_era(store_era from, store_era to);
     void tick();
     void continue_shutdown(instant now);
     /// Answers the rest and ends the stop, each when it is time.
@@ -53,6 +55,7 @@
     event_loop& loop;
     entry_settings settings;
     store_call_counts store_calls;
+    store_era_gate store_eras;
     deployment_api platform;
     registry metrics;
     host_id self;
