--- a/tests/auto/wire/wire_compatibility_test.cpp
+++ b/tests/auto/wire/wire_compatibility_test.cpp
@@ -67,7 +67,7 @@
 
 std::filesystem::path landed_forms()
 {
-    return std::filesystem::path{__FILE__}.parent_path() / "landed";
+    return std::filesystem::path{LANDED_WIRE_FORMS};
 }
 
 /// One line a form: name, shape, sample in hexadecimal.
