Coordinator: a store that comes back older no longer gives keys to two servers

Cause: a memory older than the promise. After the store came back from a copy, fences were counted on from the copy and given out again, a read of the copy passed for one that an own append had overtaken, and whoever read the copy granted by it at once, though a term, moves and grants that the copy lacks were still in force.

Change: fences of an era are above all of the earlier ones. The first table of an era is unsettled. A coordinator of the earlier era stores its term again by condition and goes on renewing to processes that answer under the fence that they had; a coordinator that the copy lacks would have raised it. Everything else waits until the last grant of earlier eras is over. An answer of an earlier era, and one to an append at an offset of one, count as no answer; the answer to an append is matched by number.

--- a/include/quincewing/assignment/assignment_table.hpp
+++ b/include/quincewing/assignment/assignment_table.hpp
@@ -90,6 +90,10 @@
     std::uint64_t last_fence{};
     /// Sorted by service and first key; the ranges of a service do not overlap.
     std::vector<assigned_range> ranges;
+    /// Era of the store in which this version was stored; 0 if the store or the writer knows none.
+    store_era era;
+    /// Grants that the store's copy knows nothing of may still be in force.
+    bool unsettled{};
 
     bool operator==(const assignment_table&) const = default;
     /// The range that contains the key; nullptr if the key was never assigned.
@@ -106,9 +110,14 @@
         f(coordinator);
         f(last_fence);
         f(ranges);
+        f(era);
+        f(unsettled);
     }
 };
 
+/// Whether `a` was stored before `b`. Terms and revisions compare within an era only.
+bool older(const assignment_table& a, const assignment_table& b);
+
 std::string encode_table(const assignment_table& table);
 tl::expected<assignment_table, std::string> decode_table(std::string_view data);
 
--- a/include/quincewing/assignment/coordinator.hpp
+++ b/include/quincewing/assignment/coordinator.hpp
@@ -46,6 +46,8 @@
     duration takeover_timeout{millis{1000}};
     /// A host that has just started takes no term for this time.
     duration takeover_start_delay{0};
+    /// The deployment starts for the first time: a store without a table has lost none.
+    bool first_start{true};
     /// The first assignment waits until the number of servers has not changed for this time, so
     /// that servers that start together all get keys.
     duration initial_assignment_delay{millis{1200}};
@@ -57,6 +59,10 @@
     bool release_with_new_fence{true};
     bool require_recent_read{true};
     bool wait_after_new_term{true};
+    bool fences_above_earlier_eras{true};
+    bool wait_in_new_era{true};
+    bool prove_after_earlier_eras{true};
+    bool heed_era_of_table{true};
 };
 
 /// Why the previous owner of a range counts as not holding it any more.
@@ -97,7 +103,10 @@
     void on_table_read(instant sent, instant now, std::optional<assignment_table> table,
                        log_offset end);
     void on_table_unreadable(instant now);
-    void on_append(instant now, append_outcome outcome);
+    void on_append(instant now, append_number number, append_outcome outcome);
+    /// The store has come back from an older copy, or its era is known for the first time. To be
+    /// called before what an answer of that era holds is passed in.
+    void on_store_era(instant now, store_era era);
     /// handoff: token of a release, may be empty; connection: the one that carried a grant.
     void on_call(instant now, call_number number, call_outcome outcome, std::string handoff,
                  connection_number connection);
@@ -148,6 +157,8 @@
         bool needs_new_fence{};
         /// A grant under the current fence may have reached the server.
         bool maybe_granted{};
+        /// In an unsettled table: nobody else was granted the keys in an earlier era.
+        bool proven{};
         /// Connection of the last confirmed grant under the current fence.
         connection_number connection;
         /// Handoff token of the previous owner's release; may be empty.
@@ -161,6 +172,7 @@
         /// Fence and first key.
         std::pair<std::uint64_t, key_number> range;
         key_holder holder;
+        instant sent{};
         /// Counted from the sending of the call.
         instant granted_until{};
         /// Whenever the call arrived, the server's grant has ended by then.
@@ -171,9 +183,32 @@
     range_state& state_of(const assigned_range& range);
     [[nodiscard]] const range_state* find_state(const assigned_range& range) const;
     void request_read(instant now);
+    /// Whether a stored table is of the store's era, and no leftover of its copy.
+    [[nodiscard]] bool of_current_era(const assignment_table& stored) const;
+    /// What this host knows to be stored may be gone.
+    void note_table_lost(instant now);
+    /// The store holds only tables of earlier eras.
+    void on_table_of_earlier_era(instant now, const assignment_table& stored);
+    /// Stores the term of an earlier era again, as the first of this one.
+    void resume_term(instant now);
+    void on_term_resumed();
+    /// Longest time since the last confirmed read after which the term may be resumed.
+    [[nodiscard]] duration max_resume_age() const;
+    /// Only grants that are certain to be the only ones may be renewed.
+    [[nodiscard]] bool restricted() const;
+    /// An accepted renewal shows that no coordinator of an earlier era gave the keys away.
+    [[nodiscard]] bool proves_owner(const pending_call& grant) const;
+    [[nodiscard]] bool may_advance(const range_state& state) const;
+    [[nodiscard]] bool may_change(const assignment_table& table, const service_id& service,
+                                  key_range keys) const;
+    [[nodiscard]] std::uint64_t first_fence() const;
+    /// All grants of earlier eras are over: the keys that were not proven get new fences.
+    void settle(assignment_table& next) const;
     void adopt_table(assignment_table table);
     void carry_over_states(const assignment_table& next);
     [[nodiscard]] std::optional<range_state> carried_state(const assigned_range& range) const;
+    /// All keys are in ranges whose state is proven.
+    [[nodiscard]] bool all_proven(const service_id& service, key_range keys) const;
     /// Once the host stops: takes its name out of the table, unless an append is under way.
     void give_up_term(instant now);
     void begin_term(instant now);
@@ -202,7 +237,7 @@
     /// Makes the server the owner, under a new fence.
     void take_over(assignment_table& next, assigned_range& range,
                    const backend_server& server) const;
-    static void merge_adjacent_ranges(assignment_table& next);
+    void merge_adjacent_ranges(assignment_table& next) const;
     bool clear_released_owners(assignment_table& next) const;
     bool assign_new_fences(assignment_table& next);
     [[nodiscard]] backend_servers ready_servers() const;
@@ -215,6 +250,14 @@
     std::vector<coordinator_effect> effects_;
     assignment_table table_;
     log_offset end_;
+    store_era era_;
+    /// The era rose while this host ran.
+    bool era_rose_{};
+    /// No table of this era is known to be stored, though one was in an earlier era.
+    bool table_lost_{};
+    instant table_lost_at_{};
+    /// From then on no coordinator of an earlier era acts, and none of its calls is under way.
+    instant earlier_eras_end_{};
     bool table_known_{};
     bool coordinating_{};
     bool stopping_{};
@@ -225,6 +268,7 @@
     bool term_vacant_{};
     /// Table of the append whose outcome is not known yet.
     std::optional<assignment_table> pending_append_;
+    append_number last_append_number_;
     bool append_outcome_unknown_{};
     /// The last append conflicted: what the stream holds has to be read first.
     bool read_before_append_{};
--- a/include/quincewing/assignment/coordinator_effects.hpp
+++ b/include/quincewing/assignment/coordinator_effects.hpp
@@ -19,9 +19,13 @@
 {
 };
 
+/// Matches the answer to an append with the one that the coordinator requested.
+using append_number = strong<struct append_number_tag, std::uint64_t>;
+
 /// Append the encoded table, provided that the stream still ends at this offset.
 struct append_table
 {
+    append_number number;
     std::string data;
     log_offset at;
 };
--- a/src/libs/assignment/assignment_table.cpp
+++ b/src/libs/assignment/assignment_table.cpp
@@ -37,6 +37,16 @@
     return {first, end};
 }
 
+bool older(const assignment_table& a, const assignment_table& b)
+{
+    // Builds that know no eras store 0.
+    const bool known = a.era != store_era{} && b.era != store_era{};
+    if (known && a.era != b.era) {
+        return a.era < b.era;
+    }
+    return std::tie(a.term, a.revision) < std::tie(b.term, b.revision);
+}
+
 std::string encode_table(const assignment_table& table)
 {
     return codec::encode(table);
--- a/src/libs/assignment/coordinator.cpp
+++ b/src/libs/assignment/coordinator.cpp
@@ -1,6 +1,7 @@
 #include "quincewing/assignment/coordinator.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace quincewing {
 
@@ -73,14 +74,21 @@
     end_ = end;
     table_known_ = true;
     const auto stored = table ? std::move(*table) : assignment_table{};
+    if (!of_current_era(stored)) {
+        on_table_of_earlier_era(now, stored);
+        return;
+    }
     const bool own = stored.coordinator == options_.self && stored.term > 0;
-    if (stored.term > table_.term) {
+    if (older(table_, stored) && stored.term != table_.term) {
         last_heartbeat_ = now;
     }
     term_vacant_ = stored.coordinator.value.empty();
+    const bool was_lost = std::exchange(table_lost_, false);
     adopt_table(stored);
     if (own && !coordinating_) {
         begin_term(now);
+    } else if (own && was_lost) {
+        on_term_resumed();
     } else if (!own && coordinating_) {
         lose_term("another host holds the term");
     }
@@ -96,7 +104,9 @@
 // A version is stored once, so the same one needs no second look.
 void coordinator::adopt_table(assignment_table table)
 {
-    if (table.term == table_.term && table.revision == table_.revision) {
+    const bool same = table.term == table_.term && table.revision == table_.revision &&
+                      table.era == table_.era && table.coordinator == table_.coordinator;
+    if (same) {
         return;
     }
     carry_over_states(table);
@@ -120,7 +130,13 @@
         return;
     }
     for (const auto& range : next.ranges) {
-        if (!range.previous_owner.empty() || find_state(range) != nullptr) {
+        if (find_state(range) != nullptr) {
+            continue;
+        }
+        if (!range.previous_owner.empty()) {
+            if (all_proven(range.service, range.keys)) {
+                state_of(range).proven = true;
+            }
             continue;
         }
         if (auto state = carried_state(range)) {
@@ -151,6 +167,7 @@
     if (covered != range.keys.size()) {
         return {};
     }
+    merged.proven = all_proven(range.service, range.keys);
     return merged;
 }
 
@@ -163,10 +180,12 @@
     calls_.clear();
     // The previous coordinator may act for as long as its last read allows, and its last grants are
     // valid for their full time after that.
-    const bool wait = options_.wait_after_new_term && !after_clean_stop_;
+    const bool clean_stop = after_clean_stop_ && !table_.unsettled;
+    const bool wait = options_.wait_after_new_term && !clean_stop;
     const auto previous_acts = wait ? options_.read_validity : duration{0};
     inherited_grants_end_ = now + previous_acts + options_.grant_timeout +
                             with_clock_drift(options_.max_grant_validity);
+    earlier_eras_end_ = instant::max();
     server_count_changed_at_ = now;
     if (hooks_.on_term_change) {
         hooks_.on_term_change("taken", table_);
@@ -189,14 +208,18 @@
 {
     pending_append_ = std::move(next);
     pending_append_->revision = table_.revision + 1;
+    pending_append_->era = era_;
+    pending_append_->unsettled = pending_append_->unsettled || table_lost_;
     append_outcome_unknown_ = false;
     store_call_sent_ = now;
-    effects_.emplace_back(append_table{.data = encode_table(*pending_append_), .at = end_});
+    last_append_number_.value += 1;
+    effects_.emplace_back(append_table{
+        .number = last_append_number_, .data = encode_table(*pending_append_), .at = end_});
 }
 
-void coordinator::on_append(instant now, append_outcome outcome)
+void coordinator::on_append(instant now, append_number number, append_outcome outcome)
 {
-    if (!pending_append_) {
+    if (!pending_append_ || number != last_append_number_) {
         return;
     }
     if (outcome == append_outcome::appended) {
@@ -205,10 +228,13 @@
         const bool own = pending_append_->coordinator == options_.self;
         auto next = std::move(*pending_append_);
         pending_append_.reset();
+        const bool was_lost = std::exchange(table_lost_, false);
         adopt_table(std::move(next));
         last_read_ = std::max(last_read_, store_call_sent_);
         if (own && !coordinating_) {
             begin_term(now);
+        } else if (own && was_lost) {
+            on_term_resumed();
         }
         if (!own && hooks_.on_term_change) {
             hooks_.on_term_change("given up", table_);
--- a/src/libs/assignment/coordinator_ranges.cpp
+++ b/src/libs/assignment/coordinator_ranges.cpp
@@ -67,7 +67,8 @@
 void coordinator::advance_range(instant now, const assigned_range& range)
 {
     auto& state = state_of(range);
-    if (state.call_pending || state.needs_new_fence || now < state.next_call) {
+    if (state.call_pending || state.needs_new_fence || now < state.next_call ||
+        !may_advance(state)) {
         return;
     }
     if (!state.released) {
@@ -116,6 +117,7 @@
     calls_[number] = {.service = range.service,
                       .range = {range.fence, range.keys.first},
                       .holder = range.owner,
+                      .sent = now,
                       .granted_until = now + valid_for,
                       .latest_grant_end =
                           now + options_.grant_timeout + with_clock_drift(valid_for),
@@ -166,6 +168,7 @@
         state.granted_until = call.granted_until;
         state.maybe_granted = true;
         state.connection = connection;
+        state.proven = state.proven || proves_owner(call);
         state.next_call = now + options_.renew_interval;
         if (!held_before && hooks_.on_held) {
             hooks_.on_held(range);
--- a/src/libs/assignment/coordinator_term.cpp
+++ b/src/libs/assignment/coordinator_term.cpp
@@ -8,14 +8,17 @@
 void coordinator::on_coordinator_heartbeat(instant now, const assignment_table& table,
                                            duration read_age)
 {
-    if (table.term < table_.term || (coordinating_ && table.term == table_.term)) {
+    const bool same_term = table.era == table_.era && table.term == table_.term;
+    if (!of_current_era(table) || (older(table, table_) && !same_term) ||
+        (coordinating_ && same_term)) {
         return;
     }
     if (coordinating_) {
         lose_term("another host has a newer term");
     }
-    if (!pending_append_ && table.revision >= table_.revision) {
+    if (!pending_append_ && !older(table, table_)) {
         term_vacant_ = table.coordinator.value.empty();
+        table_lost_ = false;
         adopt_table(table);
     }
     // A coordinator that cannot read the store must stop soon, so it counts as silent.
@@ -44,6 +47,7 @@
     after_clean_stop_ = next.coordinator.value.empty();
     next.term += 1;
     next.coordinator = options_.self;
+    next.last_fence = std::max(next.last_fence, first_fence());
     // A server may have restarted since its entry was read: the new process must not be granted
     // keys under a fence that the old one had.
     for (auto& range : next.ranges) {
--- a/src/libs/assignment/coordinator_updates.cpp
+++ b/src/libs/assignment/coordinator_updates.cpp
@@ -8,7 +8,13 @@
 
 void coordinator::update_table(instant now)
 {
-    if (!may_append(now) || stopping_ || standing_aside_) {
+    if (!may_append(now) || stopping_ || standing_aside_ || table_lost_) {
+        return;
+    }
+    if (table_.unsettled && now > inherited_grants_end_) {
+        auto next = table_;
+        settle(next);
+        start_append(now, std::move(next));
         return;
     }
     if (now < next_balance_ && !has_unstored_change()) {
@@ -38,7 +44,8 @@
     return std::any_of(table_.ranges.begin(), table_.ranges.end(), [&](const auto& range) {
         const auto* state = find_state(range);
         return state != nullptr &&
-               (state->needs_new_fence || (state->released && !range.previous_owner.empty()));
+               ((state->needs_new_fence && may_change(table_, range.service, range.keys)) ||
+                (state->released && !range.previous_owner.empty()));
     });
 }
 
@@ -47,7 +54,8 @@
     bool changed = false;
     for (auto& range : next.ranges) {
         const auto* state = find_state(range);
-        if (state == nullptr || !state->needs_new_fence) {
+        if (state == nullptr || !state->needs_new_fence ||
+            !may_change(table_, range.service, range.keys)) {
             continue;
         }
         // Only one process listens at the owner's address. Whichever it is, it may be granted the
@@ -60,8 +68,11 @@
 
 // Merges adjacent ranges of one owner, as each range costs a call per renewal. The server has the
 // keys already, so a new fence is enough.
-void coordinator::merge_adjacent_ranges(assignment_table& next)
+void coordinator::merge_adjacent_ranges(assignment_table& next) const
 {
+    if (restricted()) {
+        return;
+    }
     std::vector<assigned_range> out;
     for (const auto& range : next.ranges) {
         const bool joins = !out.empty() && out.back().service == range.service &&
@@ -102,12 +113,13 @@
         return false;
     }
     const auto ready = ready_servers();
-    const auto moves = plan_moves({.table = next,
-                                   .ready = ready,
-                                   .load = load_,
-                                   .services = keyed_services_,
-                                   .rate_limits = rate_limits_},
-                                  options_.balance);
+    auto moves = plan_moves({.table = next,
+                             .ready = ready,
+                             .load = load_,
+                             .services = keyed_services_,
+                             .rate_limits = rate_limits_},
+                            options_.balance);
+    std::erase_if(moves, [&](const auto& it) { return !may_change(next, it.service, it.keys); });
     for (const auto& move : moves) {
         apply_move(next, move);
     }
--- a/src/plugins/entry/coordination_task_effects.cpp
+++ b/src/plugins/entry/coordination_task_effects.cpp
@@ -73,9 +73,10 @@
 {
     store_record record{.key = table_key, .value = it.data};
     context_.platform.store.append(store_stream::assignment, std::move(record), it.at,
-                                   [this](const store_append_result& result) {
+                                   [this, number = it.number](const store_append_result& result) {
                                        const auto now = monotonic_now();
-                                       core_.on_append(now, to_append_outcome(result.status));
+                                       core_.on_append(now, number,
+                                                       to_append_outcome(result.status));
                                        tell_if_given_up(standing_aside_);
                                        core_.tick(now);
                                        execute_effects();
--- a/tests/auto/assignment/coordinator_search.cpp
+++ b/tests/auto/assignment/coordinator_search.cpp
@@ -189,12 +189,18 @@
         ++host.incarnation;
         coordinator_options options;
         options.self = host_id{"h" + std::to_string(i) + "/" + std::to_string(host.incarnation)};
+        options.first_start = host.incarnation == 1;
         options.initial_assignment_delay = millis{200};
         options.balance_interval = seconds{2};
+        if (options_.mutate) {
+            options_.mutate(options);
+        }
         host.core = std::make_unique<coordinator>(options, coordinator_hooks{});
         host.core->set_takeover_rank(i);
         host.eras = std::make_unique<store_era_gate>(
-            store_era_hooks{.on_change = [](store_era, store_era) {}});
+            store_era_hooks{.on_change = [this, i](store_era, store_era to) {
+                hosts_[i].core->on_store_era(now_, to);
+            }});
         host.store = host.eras->wrap(make_store(i, host.incarnation));
         host.up = true;
     }
@@ -231,6 +237,7 @@
                     other.core->note_released(range);
                 }
             }
+            other.eras->on_told(host.eras->era());
             other.core->on_coordinator_heartbeat(now_, table, age);
             carry_out(to);
         }
@@ -279,8 +286,9 @@
     void carry_out(std::size_t i, const append_table& it)
     {
         hosts_[i].store.append(store_stream::assignment, {.key = "table", .value = it.data}, it.at,
-                               [this, i](const store_append_result& result) {
-                                   hosts_[i].core->on_append(now_, outcome_of(result.status));
+                               [this, i, number = it.number](const store_append_result& result) {
+                                   hosts_[i].core->on_append(now_, number,
+                                                             outcome_of(result.status));
                                });
     }
     static append_outcome outcome_of(store_status it)
--- a/tests/auto/assignment/coordinator_search.hpp
+++ b/tests/auto/assignment/coordinator_search.hpp
@@ -1,6 +1,9 @@
 #pragma once
 
+#include "quincewing/assignment/coordinator.hpp"
+
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 
@@ -12,6 +15,8 @@
     bool faults{true};
     /// The store goes away for up to 5 s and comes back from a copy 1 to 10 s old.
     bool drills{};
+    /// Takes a safety rule away from all hosts. May be empty.
+    std::function<void(coordinator_options&)> mutate;
 };
 
 /// Simulates hosts, servers and a store with random faults from one seed. Returns a description of
--- a/tests/auto/assignment/coordinator_search_test.cpp
+++ b/tests/auto/assignment/coordinator_search_test.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr std::uint64_t default_schedules = 250;
+constexpr std::uint64_t mutation_schedules = 2000;
 
 /// Number of the first schedule with a violation, counted from 1; 0 if there is none.
 std::uint64_t first_violation(std::uint64_t schedules, const search_options& search = {})
@@ -48,6 +49,28 @@
     }
 }
 
+TEST_CASE("coordinators with drills mutation: each rule is needed")
+{
+    search_options search{.drills = true};
+    SUBCASE("fences are above those of earlier eras")
+    {
+        search.mutate = [](auto& it) { it.fences_above_earlier_eras = false; };
+    }
+    SUBCASE("grants of earlier eras are waited for")
+    {
+        search.mutate = [](auto& it) { it.wait_in_new_era = false; };
+    }
+    SUBCASE("a table of an earlier era names no coordinator")
+    {
+        search.mutate = [](auto& it) { it.heed_era_of_table = false; };
+    }
+    SUBCASE("a host that starts anew does not take an empty store for a new deployment")
+    {
+        search.mutate = [](auto& it) { it.first_start = true; };
+    }
+    CHECK(first_violation(mutation_schedules, search) > 0);
+}
+
 TEST_CASE("coordinators: seeds that failed before")
 {
     // Faults behind the seeds: a restart was taken as proof of release; a restarted server was
--- a/tests/auto/assignment/coordinator_test.cpp
+++ b/tests/auto/assignment/coordinator_test.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <doctest/doctest.h>
+#include <optional>
 #include <variant>
 
 using namespace quincewing;
@@ -39,6 +40,16 @@
         servers.erase(server_id{id});
         core.set_servers(now, servers, {keyed_service});
     }
+    /// The append among the effects, which it takes and does not carry out.
+    std::optional<append_table> take_append()
+    {
+        for (auto& effect : core.take_effects()) {
+            if (const auto* append = std::get_if<append_table>(&effect)) {
+                return *append;
+            }
+        }
+        return {};
+    }
     void carry_out_effects()
     {
         for (auto& effect : core.take_effects()) {
@@ -50,7 +61,7 @@
                 if (appends_turned_away) {
                     // As a task does after each answer.
                     ++appends;
-                    core.on_append(now, append_outcome::not_done);
+                    core.on_append(now, append->number, append_outcome::not_done);
                     core.tick(now);
                     continue;
                 }
@@ -60,7 +71,8 @@
                     ++end;
                 }
                 appends += fits ? 0 : 1;
-                core.on_append(now, fits ? append_outcome::appended : append_outcome::conflict);
+                core.on_append(now, append->number,
+                               fits ? append_outcome::appended : append_outcome::conflict);
                 core.tick(now);
             } else if (const auto* grant = std::get_if<grant_keys>(&effect)) {
                 grants.push_back(*grant);
@@ -442,9 +454,10 @@
     }
     REQUIRE(!held_back.empty());
     it.core.stop(it.now);
-    it.stored = decode_table(std::get<append_table>(held_back.front()).data).value();
+    const auto& append = std::get<append_table>(held_back.front());
+    it.stored = decode_table(append.data).value();
     ++it.end;
-    it.core.on_append(it.now, append_outcome::appended);
+    it.core.on_append(it.now, append.number, append_outcome::appended);
     it.run(seconds{3});
     CHECK(it.core.stopped());
     CHECK_FALSE(it.core.coordinating());
@@ -459,8 +472,9 @@
     it.run(seconds{5});
     REQUIRE(it.core.coordinating());
     it.core.stop(it.now);
-    REQUIRE(!it.core.take_effects().empty());
-    it.core.on_append(it.now, append_outcome::not_done);
+    const auto append = it.take_append();
+    REQUIRE(append);
+    it.core.on_append(it.now, append->number, append_outcome::not_done);
     it.run(seconds{3});
     CHECK(it.stored->coordinator.value.empty());
 }
@@ -493,8 +507,9 @@
     REQUIRE(it.core.coordinating());
     it.core.set_standing_aside(true);
     it.core.tick(it.now);
-    REQUIRE(!it.core.take_effects().empty());
-    it.core.on_append(it.now, append_outcome::not_done);
+    const auto append = it.take_append();
+    REQUIRE(append);
+    it.core.on_append(it.now, append->number, append_outcome::not_done);
     it.run(seconds{3});
     CHECK(it.stored->coordinator.value.empty());
 }
