Hosts tell each other the store's era, and compare tables within it

What callers saw: as before, keys at two servers after the store came back older. Hosts that do not read the store learned of the new era only when it was their turn to, and took the coordinator's versions and tables of another era for those that they had: the same term and revision may name two tables, and offsets of two eras can't be compared.

Change: beats, news, requests for news, table changes and configurations carry the era (new members at the end, older builds pass over them). A host that hears a higher one takes it over before anything else; beats of a coordinator that has not heard of it are passed over. Gauge quincewing_store_era, counter quincewing_store_era_changes_total, line store_answer_of_earlier_era.

--- a/include/quincewing/assignment/coordinator.hpp
+++ b/include/quincewing/assignment/coordinator.hpp
@@ -143,6 +143,8 @@
     /// Utilization of the servers of a keyed service, in descending order.
     [[nodiscard]] std::vector<server_utilization>
     server_utilizations(const service_id& service) const;
+    /// The store's era, as far as this host knows.
+    [[nodiscard]] store_era era() const { return era_; }
     [[nodiscard]] load_map& load() { return load_; }
     /// When the newest read or append that confirmed this host's term was sent.
     [[nodiscard]] instant last_read() const { return last_read_; }
--- a/include/quincewing/assignment/table_change.hpp
+++ b/include/quincewing/assignment/table_change.hpp
@@ -35,6 +35,7 @@
     /// If it is not 0, the fences of all new ranges follow this one in the order of the ranges, and
     /// `changed` is to be read without its fences. Not understood by hosts that speak 1.
     std::uint64_t fences_after{};
+    store_era from_era;
 
     template <class F>
     void each_field(F&& f)
@@ -45,6 +46,7 @@
         f(removed);
         f(changed);
         f(fences_after);
+        f(from_era);
     }
 };
 
--- a/include/quincewing/entry/entry_settings.hpp
+++ b/include/quincewing/entry/entry_settings.hpp
@@ -29,6 +29,8 @@
     std::string servers_from;
     /// Processor cores that the host may use; 0: not known. Hosts with more coordinate first.
     double cores{};
+    /// The deployment starts for the first time, so that an empty store has lost nothing.
+    bool first_start{true};
     deployment_bounds bounds;
     /// Bytes of one response that are buffered for a slow caller.
     std::uint64_t answer_buffer{256UL * 1024};
--- a/include/quincewing/wire/coordination_messages.hpp
+++ b/include/quincewing/wire/coordination_messages.hpp
@@ -29,6 +29,10 @@
     std::uint64_t configuration_age{};
     /// Where the configuration is stored.
     std::uint64_t configuration_offset{};
+    /// The store's era that the sender knows, in which the offsets are; 0: none.
+    store_era era;
+    /// Era in which the table was stored.
+    store_era table_era;
     template <class F>
     void each_field(F&& f)
     {
@@ -42,6 +46,13 @@
         f(servers_age);
         f(configuration_age);
         f(configuration_offset);
+        f(era);
+        f(table_era);
+    }
+    [[nodiscard]] bool same_table(const coordinator_beat& other) const
+    {
+        return term == other.term && table_revision == other.table_revision &&
+               table_era == other.table_era;
     }
 };
 
@@ -53,6 +64,7 @@
     std::uint64_t term{};
     std::uint64_t table_revision{};
     std::uint64_t servers_changed{};
+    store_era table_era;
 
     template <class F>
     void each_field(F&& f)
@@ -60,6 +72,7 @@
         f(term);
         f(table_revision);
         f(servers_changed);
+        f(table_era);
     }
 };
 
@@ -113,6 +126,8 @@
     std::uint64_t age{};
     /// The whole; missing if the receiver has this version or a newer one.
     std::optional<configuration_changes> whole;
+    /// Era of the store in which the offset is; 0: not known.
+    store_era era;
 
     template <class F>
     void each_field(F&& f)
@@ -121,6 +136,7 @@
         f(offset);
         f(age);
         f(whole);
+        f(era);
     }
 };
 
--- a/src/libs/assignment/table_change.cpp
+++ b/src/libs/assignment/table_change.cpp
@@ -30,14 +30,16 @@
 table_change diff_tables(const assignment_table& from, const assignment_table& to,
                          renewal_form form)
 {
-    table_change out{.from_term = from.term, .from_revision = from.revision};
+    table_change out{.from_term = from.term, .from_revision = from.revision, .from_era = from.era};
     const bool renewed = form == renewal_form::consecutive && from.last_fence != 0 &&
                          fences_follow(from.last_fence, to.ranges);
     out.fences_after = renewed ? from.last_fence : 0;
     out.head = {.term = to.term,
                 .revision = to.revision,
                 .coordinator = to.coordinator,
-                .last_fence = to.last_fence};
+                .last_fence = to.last_fence,
+                .era = to.era,
+                .unsettled = to.unsettled};
     std::map<range_id, const assigned_range*> before;
     for (const auto& range : from.ranges) {
         before[id_of(range)] = &range;
@@ -60,7 +62,8 @@
 std::optional<assignment_table> apply_table_change(const assignment_table& from,
                                                    const table_change& change)
 {
-    if (from.term != change.from_term || from.revision != change.from_revision) {
+    if (from.term != change.from_term || from.revision != change.from_revision ||
+        from.era != change.from_era) {
         return {};
     }
     std::map<range_id, const assigned_range*> ranges;
--- a/src/libs/wire/told_beat.cpp
+++ b/src/libs/wire/told_beat.cpp
@@ -9,6 +9,7 @@
     auto out = now;
     out.term = last.term;
     out.table_revision = last.table_revision;
+    out.table_era = last.table_era;
     out.held_revision = last.held_revision;
     if (now.configuration != last.configuration) {
         // The read behind the new version says nothing of the one that was told.
--- a/src/plugins/entry/coordination_task.cpp
+++ b/src/plugins/entry/coordination_task.cpp
@@ -66,7 +66,8 @@
       core_({.self = context_.self,
              .degraded_grant_validity = context_.settings.bounds.longest_hold,
              .max_grant_validity = context_.settings.bounds.longest_hold,
-             .takeover_start_delay = takeover_start_delay(context_.settings.cores)},
+             .takeover_start_delay = takeover_start_delay(context_.settings.cores),
+             .first_start = context_.settings.first_start},
             make_hooks([this](const assigned_range&) { newly_held_ = true; })),
       random_(static_cast<std::uint32_t>(stable_hash(context_.self.value)))
 {
@@ -177,6 +178,12 @@
     on_limits();
 }
 
+void coordination_task::on_store_era(instant now, store_era era)
+{
+    core_.on_store_era(now, era);
+    execute_effects();
+}
+
 void coordination_task::on_limits()
 {
     core_.set_rate_limits(context_.view.rate_limits());
--- a/src/plugins/entry/coordination_task.hpp
+++ b/src/plugins/entry/coordination_task.hpp
@@ -21,6 +21,8 @@
     std::function<void()> on_assignment_change;
     /// What the answer to a grant or release says of its server.
     std::function<void(const backend_server&, const server_notice&)> on_notice;
+    /// Another host knows a higher era of the store.
+    std::function<void(store_era)> on_era_told;
 };
 
 /// Executes the effects of this host's coordinator. While this host coordinates, broadcasts the
@@ -43,6 +45,8 @@
     [[nodiscard]] bool stopped() const { return core_.stopped(); }
 
     void on_servers_or_configuration(instant now);
+    /// The store came back from an older copy, or its era is known for the first time.
+    void on_store_era(instant now, store_era era);
     /// The servers' own limits changed.
     void on_limits();
     void on_host_connected(const peer_identity& host);
@@ -81,6 +85,8 @@
     void send_state(const host_id& to, const news_request& known);
     void broadcast_changes(const coordinator_beat& current);
     void broadcast_if_changed();
+    /// Whether the sender knows less than this host; raises the era that this host knows.
+    bool outdated(const coordinator_beat& it);
     void apply_table_update(instant now, const coordinator_news& it);
     void apply_servers_update(const coordinator_news& it);
     /// Tells all hosts once this host's name is out of the table.
@@ -108,6 +114,7 @@
     std::uint64_t held_revision_{};
     std::uint64_t published_revision_{};
     std::uint64_t published_term_{};
+    store_era published_era_;
     std::uint64_t published_held_{};
     /// This host has broadcast since it took the term.
     bool broadcasting_{};
--- a/src/plugins/entry/coordination_task_effects.cpp
+++ b/src/plugins/entry/coordination_task_effects.cpp
@@ -138,12 +138,14 @@
 void coordination_task::publish_table(instant now)
 {
     const auto& table = core_.table();
-    const bool published = published_term_ == table.term && published_revision_ == table.revision;
+    const bool published = published_term_ == table.term && published_revision_ == table.revision &&
+                           published_era_ == table.era;
     if (published) {
         return;
     }
     published_term_ = table.term;
     published_revision_ = table.revision;
+    published_era_ = table.era;
     note_broadcast_base();
     // All grants count as in force until the coordinator says otherwise.
     held_.assign(table.ranges.size(), 1);
@@ -168,7 +170,9 @@
         last_broadcast_ = {.term = broadcast_table_.term,
                            .table_revision = broadcast_table_.revision,
                            .servers_read = directory.read_offset().value,
-                           .servers_changed = directory.changed_offset().value};
+                           .servers_changed = directory.changed_offset().value,
+                           .era = core_.era(),
+                           .table_era = broadcast_table_.era};
         broadcast_servers_ = directory.servers();
     }
 }
--- a/src/plugins/entry/coordination_task_news.cpp
+++ b/src/plugins/entry/coordination_task_news.cpp
@@ -35,7 +35,9 @@
             .table_age = to_micros(now - core_.last_read()),
             .servers_age = to_micros(follower_.servers_age(now)),
             .configuration_age = to_micros(now - context_.view.currency().in_force_at()),
-            .configuration_offset = configuration_.offset().value};
+            .configuration_offset = configuration_.offset().value,
+            .era = core_.era(),
+            .table_era = core_.table().era};
 }
 
 void coordination_task::send_heartbeats(instant now)
@@ -53,8 +55,7 @@
         return;
     }
     const auto current = current_versions(now);
-    const bool changed = current.term != last_broadcast_.term ||
-                         current.table_revision != last_broadcast_.table_revision ||
+    const bool changed = !current.same_table(last_broadcast_) ||
                          current.held_revision != last_broadcast_.held_revision ||
                          current.servers_changed != last_broadcast_.servers_changed ||
                          current.configuration != last_broadcast_.configuration;
@@ -73,8 +74,7 @@
 void coordination_task::broadcast_changes(const coordinator_beat& current)
 {
     coordinator_news it{.versions = current};
-    const bool table_changed = current.term != last_broadcast_.term ||
-                               current.table_revision != last_broadcast_.table_revision;
+    const bool table_changed = !current.same_table(last_broadcast_);
     if (table_changed) {
         it.table_changes = diff_tables(broadcast_table_, core_.table());
     }
@@ -105,7 +105,8 @@
     coordinator_news it{.versions = told_beat(current_versions(monotonic_now()), last_broadcast_),
                         .held = broadcast_held_};
     const bool same_table = known.term == last_broadcast_.term &&
-                            known.table_revision == last_broadcast_.table_revision;
+                            known.table_revision == last_broadcast_.table_revision &&
+                            known.table_era == last_broadcast_.table_era;
     if (!same_table) {
         it.table = broadcast_table_;
     }
@@ -132,18 +133,31 @@
     }
 }
 
+// A coordinator that has not heard of the era that this host knows speaks for a table that the
+// store may have lost.
+bool coordination_task::outdated(const coordinator_beat& it)
+{
+    if (it.era > core_.era()) {
+        hooks_.on_era_told(it.era);
+    }
+    const assignment_table told{
+        .term = it.term, .revision = core_.table().revision, .era = it.table_era};
+    const bool earlier_era = it.era != store_era{} && it.era < core_.era();
+    return earlier_era || older(told, core_.table());
+}
+
 void coordination_task::on_message(const host_id& from, const coordinator_beat& it)
 {
     const auto now = monotonic_now();
-    const auto& table = core_.table();
-    if (it.term < table.term || core_.coordinating()) {
+    if (outdated(it) || core_.coordinating()) {
         return;
     }
+    const auto& table = core_.table();
     coordinator_host_ = from;
     last_message_at_ = now;
     const bool same_servers = it.servers_changed == follower_.directory().changed_offset().value;
     const bool behind =
-        it.term != table.term || it.table_revision != table.revision ||
+        it.term != table.term || it.table_revision != table.revision || it.table_era != table.era ||
         it.held_revision != coordinator_versions_.held_revision ||
         follower_.directory().behind(log_offset{it.servers_read}, log_offset{it.servers_changed});
     note_told_configuration(now, it);
@@ -160,7 +174,8 @@
         peers_.send(from,
                     news_request{.term = table.term,
                                  .table_revision = table.revision,
-                                 .servers_changed = follower_.directory().changed_offset().value});
+                                 .servers_changed = follower_.directory().changed_offset().value,
+                                 .table_era = table.era});
     }
 }
 
@@ -175,7 +190,7 @@
 void coordination_task::on_message(const host_id& from, const coordinator_news& it)
 {
     const auto now = monotonic_now();
-    if (it.versions.term < core_.table().term) {
+    if (outdated(it.versions)) {
         return;
     }
     apply_table_update(now, it);
@@ -188,7 +203,8 @@
     coordinator_versions_ = it.versions;
     publish_table(now);
     const bool same_table = it.versions.table_revision == core_.table().revision &&
-                            it.versions.term == core_.table().term;
+                            it.versions.term == core_.table().term &&
+                            it.versions.table_era == core_.table().era;
     if (it.held && same_table && it.held->size() == core_.table().ranges.size()) {
         held_ = *it.held;
         for (std::size_t i = 0; i < held_.size(); ++i) {
@@ -241,7 +257,8 @@
     }
     configuration_reply reply{.version = current.version,
                               .offset = configuration_.offset().value,
-                              .age = to_micros(monotonic_now() - in_force_at)};
+                              .age = to_micros(monotonic_now() - in_force_at),
+                              .era = core_.era()};
     if (it.version < current.version) {
         reply.whole = difference(configuration{}, current);
     }
@@ -250,7 +267,7 @@
 
 void coordination_task::on_message(const host_id&, const configuration_reply& it)
 {
-    const log_offset offset{it.offset};
+    const auto offset = it.era == core_.era() ? log_offset{it.offset} : log_offset{};
     if (it.whole) {
         configuration_.on_changes(*it.whole, offset);
     }
--- a/src/plugins/entry/entry_host.cpp
+++ b/src/plugins/entry/entry_host.cpp
@@ -27,7 +27,12 @@
 
 entry_host::tasks::tasks(event_loop& loop_, entry_settings settings_, deployment_api platform_)
     : loop(loop_), settings(std::move(settings_)),
-      store_eras({.on_change = [this](store_era from, store_era to) { on_store_era(from, to); }}),
+      store_eras({.on_change = [this](store_era from, store_era to) { on_store_era(from, to); },
+                  .on_stale =
+                      [](store_era told, store_era known) {
+                          log_event("store_answer_of_earlier_era",
+                                    {{"era", told.value}, {"known", known.value}});
+                      }}),
       platform(std::move(platform_)), self(new_host_id(settings.peers)),
       view(stable_hash(self.value)), context{loop, settings, platform, view, metrics, self},
       peers(loop,
@@ -67,7 +72,8 @@
                     .on_notice =
                         [this](const backend_server& server, const server_notice& notice) {
                             conditions.on_notice(server, {}, notice);
-                        }}),
+                        },
+                    .on_era_told = [this](store_era era) { store_eras.on_told(era); }}),
       dispatch(context, peers), crashes(context, peers),
       conditions(context, peers,
                  {.on_limits = [this] { on_limits_change(); },
@@ -115,6 +121,8 @@
               metrics.gauge("quincewing_limited_servers") =
                   static_cast<double>(view.rate_limits().size());
               metrics.gauge("quincewing_coordinating") = coordination.core().coordinating() ? 1 : 0;
+              metrics.gauge("quincewing_store_era") = static_cast<double>(store_eras.era().value);
+              metrics.counter("quincewing_store_era_changes_total") = store_era_changes;
               metrics.gauge("quincewing_cut_off_from_servers") = reach.cut_off() ? 1 : 0;
               metrics.counter("quincewing_peer_bytes_sent_total") = peers.counts().bytes_sent;
               for (const auto& [call, n] : store_calls.all()) {
@@ -213,6 +221,10 @@
 void entry_host::tasks::on_store_era(store_era from, store_era to)
 {
     log_event("store_era", {{"from", from.value}, {"to", to.value}});
+    coordination.on_store_era(monotonic_now(), to);
+    if (from != store_era{}) {
+        ++store_era_changes;
+    }
 }
 
 void entry_host::tasks::log_store_calls()
--- a/src/plugins/entry/entry_host_tasks.hpp
+++ b/src/plugins/entry/entry_host_tasks.hpp
@@ -56,6 +56,7 @@
     entry_settings settings;
     store_call_counts store_calls;
     store_era_gate store_eras;
+    std::uint64_t store_era_changes{};
     deployment_api platform;
     registry metrics;
     host_id self;
--- a/src/plugins/entry/entry_settings.cpp
+++ b/src/plugins/entry/entry_settings.cpp
@@ -49,6 +49,7 @@
     require_address(file, "store", out.store);
     file.get(section, "servers_from", out.servers_from);
     file.get(section, "cores", out.cores, 0.0, 1024.0);
+    file.get(section, "first_start", out.first_start);
     file.get_bytes(section, "answer_buffer", out.answer_buffer, 16UL * 1024, 64UL * 1024 * 1024);
     file.get_bytes(section, "held_answer", out.held_answer, 0, 16UL * 1024 * 1024);
     file.get_bytes(section, "request_body", out.request_body, 0, 64UL * 1024 * 1024);
