Servers: a store that comes back older leaves no host with an old list

Seen: after the store came back from an older copy, hosts ignored every read that ended before the offset that they had reached, and passed over records whose offsets were given out again; an old entry made a draining server ready again and brought back one that had left.

Cause: server_directory keeps the largest offset that it has seen (read_offset_, on_full_read, on_records, on_relayed), and takes what the store tells last as the newest.

Change: on_store_era begins the offsets anew and makes the next read a full one.

--- a/src/plugins/entry/store_follower.cpp
+++ b/src/plugins/entry/store_follower.cpp
@@ -104,13 +104,33 @@
 void store_follower::on_relayed_servers(const std::vector<backend_server>& servers, log_offset read,
                                         log_offset changed)
 {
-    if (directory_.on_relayed(servers, read, changed)) {
-        // This host's next read continues from the relayed offset.
-        servers_snapshot_needed_ = false;
+    if (directory_.on_relayed(monotonic_now(), servers, read, changed)) {
+        continue_from(read);
         publish_servers();
     }
 }
 
+void store_follower::confirm_servers(log_offset read)
+{
+    directory_.on_confirmed(read);
+    continue_from(read);
+}
+
+// This host's next read continues from an offset that it was told, unless that host has not read
+// the store yet.
+void store_follower::continue_from(log_offset told)
+{
+    if (directory_.known() && told != log_offset{}) {
+        servers_snapshot_needed_ = false;
+    }
+}
+
+void store_follower::on_store_era(instant now)
+{
+    directory_.on_store_era(now);
+    servers_snapshot_needed_ = true;
+}
+
 void store_follower::publish_servers()
 {
     if (!directory_.known() ||
--- a/src/plugins/entry/store_follower.hpp
+++ b/src/plugins/entry/store_follower.hpp
@@ -37,7 +37,9 @@
     void on_relayed_servers(const std::vector<backend_server>& servers, log_offset read,
                             log_offset changed);
     /// The coordinating host has read up to this offset and has the same servers.
-    void confirm_servers(log_offset read) { directory_.on_confirmed(read); }
+    void confirm_servers(log_offset read);
+    /// The store came back from an older copy.
+    void on_store_era(instant now);
     void tick(instant now);
 
     [[nodiscard]] const server_directory& directory() const { return directory_; }
@@ -45,6 +47,7 @@
     [[nodiscard]] duration servers_age(instant now) const { return now - servers_as_of_; }
 
 private:
+    void continue_from(log_offset told);
     void read_servers();
     void on_servers_page(instant sent, const store_page& page, bool snapshot);
     void publish_servers();
