Configuration: a store that comes back older confirms no version that it lacks

Seen: after the store came back from an older copy, a host read on from an offset of the earlier era, so that it got no version that was stored below; a read of the copy, which lacks the host's version, confirmed that version; a coordinating host that lacked a version which others had read the store at each tick.

Cause: configuration_follower keeps the largest offset; on_page confirms the applied version whatever the page shows; a host that watches reads again at once even if it is behind.

Change: on_store_era begins the offsets anew with a full read; the applied version stays. While the store has not shown it, or a later one, in the era, reads confirm nothing (the store may lack a later version as well), the offset is told as 0, and hosts that do not watch read each 1.4 s. A host that watches and is behind pauses like the others.

--- a/src/plugins/entry/configuration_follower.cpp
+++ b/src/plugins/entry/configuration_follower.cpp
@@ -18,6 +18,9 @@
 constexpr millis slow_read{500};
 // Between reads of a host that does not watch the store.
 constexpr millis read_interval{350};
+// The same while the store, come back older, lacks the version that the host has: the coordinating
+// host waits there for it, and tells all when it is written again.
+constexpr millis lacking_read_interval{1400};
 // The pause after a failed read doubles up to the maximum: without a coordinator all hosts read.
 constexpr millis min_retry_pause{100};
 constexpr millis max_retry_pause{1200};
@@ -43,6 +46,9 @@
     auto& currency = context_.view.currency();
     const bool was_behind = currency.behind();
     currency.on_newest(monotonic_now(), version, as_of);
+    if (version == context_.view.routes().current().version && offset != log_offset{}) {
+        note_stored_at(offset);
+    }
     if (!currency.behind() || currency.newest() != version) {
         return;
     }
@@ -53,6 +59,15 @@
     }
 }
 
+void configuration_follower::on_store_era(instant)
+{
+    copied_ = true;
+    in_store_ = false;
+    offset_ = {};
+    next_offset_ = {};
+    snapshot_needed_ = true;
+}
+
 void configuration_follower::on_changes(const configuration_changes& changes, log_offset offset)
 {
     const auto& applied = context_.view.routes().current();
@@ -136,18 +151,22 @@
         snapshot_needed_ = false;
     }
     const auto& applied = context_.view.routes().current();
-    if (!behind && applied.version != config_version{}) {
+    // A store that lacks the applied version may lack a later one as well.
+    if (!behind && applied.version != config_version{} && in_store_) {
         // The store kept an empty answer back for the time that it was given.
         const bool waited = page.records.empty() && now - sent >= wait;
         context_.view.currency().on_newest(now, applied.version, waited ? sent + wait : sent);
     }
-    if (!behind && context_.view.currency().behind()) {
+    const bool lacking = !behind && context_.view.currency().behind();
+    if (lacking) {
         // The store does not have, where it was told to be, what another host has read.
         snapshot_needed_ = true;
         hooks_.on_unknown();
     }
-    const bool at_once = behind || (watching_ && applied.version != config_version{});
-    next_read_ = at_once ? now : now + read_interval;
+    const bool watches = watching_ && applied.version != config_version{} && !lacking;
+    const bool seldom = !in_store_ && !lacking;
+    const auto pause = seldom ? lacking_read_interval : read_interval;
+    next_read_ = behind || watches ? now : now + pause;
 }
 
 // From the end: of several versions only the newest that can be read is decoded.
@@ -163,7 +182,11 @@
                       {{"offset", it->offset.value}, {"error", next.error()}});
             continue;
         }
+        const auto version = next->version;
         apply(std::move(*next), it->offset);
+        if (version == context_.view.routes().current().version) {
+            note_stored_at(it->offset);
+        }
         break;
     }
     if (!page.records.empty()) {
@@ -181,10 +204,18 @@
     }
     previous_ = std::move(previous);
     offset_ = offset;
+    // After the store came back older, 0 stands for an offset that the teller does not know.
+    in_store_ = !copied_ || offset != log_offset{};
     next_offset_ = std::max(next_offset_, log_offset{offset.value + 1});
     log_event("configuration",
               {{"version", version.value}, {"routes", routes}, {"offset", offset.value}});
     hooks_.on_configuration();
 }
 
+void configuration_follower::note_stored_at(log_offset offset)
+{
+    offset_ = offset;
+    in_store_ = true;
+}
+
 } // namespace quincewing
--- a/src/plugins/entry/configuration_follower.hpp
+++ b/src/plugins/entry/configuration_follower.hpp
@@ -30,11 +30,14 @@
     void on_told(config_version version, log_offset offset, instant as_of);
     /// Changes against a version that this host does not have are ignored.
     void on_changes(const configuration_changes& changes, log_offset offset);
+    /// The store came back from an older copy. Offsets of the earlier era are worth nothing; the
+    /// applied version stays, and is not confirmed by reads that do not show it.
+    void on_store_era(instant now);
     void tick(instant now);
 
     /// From the version that was applied before to the applied one.
     [[nodiscard]] configuration_changes latest_changes() const;
-    /// Where the applied version is stored.
+    /// Where the applied version is stored; 0 while that is not known in the store's era.
     [[nodiscard]] log_offset offset() const { return offset_; }
 
 private:
@@ -46,6 +49,7 @@
     void on_page(instant sent, duration wait, const store_page& page, bool snapshot);
     void apply_newest(const store_page& page);
     void apply(configuration next, log_offset offset);
+    void note_stored_at(log_offset offset);
 
     host_context context_;
     configuration_follower_hooks hooks_;
@@ -55,6 +59,10 @@
     /// The next read fetches the newest record, not what follows an offset.
     bool snapshot_needed_{true};
     bool watching_{true};
+    /// The store has come back older.
+    bool copied_{};
+    /// The store is known to hold the applied version, or a later one, in its present era.
+    bool in_store_{true};
     bool read_pending_{};
     instant next_read_{};
     /// When the read under way was sent, or another host was asked meanwhile.
