Announcer: a host writes its record again after the store came back older

Seen: the copy from which the store comes back may lack hosts' records; hosts that start later do not find them until they are linked by others.

Cause: host_announcer writes its record once and looks for hosts once; nothing undoes that. In the tests, with an on_store_era that does nothing, 3 of 4 cases fail (no append within 3 s, no spread, no second look-up); the fourth, a host that stops, guards the change.

Change: on_store_era makes the host write its record again after up to 1 s, by a hash of its id, and look for the others once after that. A look-up that was under way when the store came back does not count. A host that stops writes nothing.

Evidence: the four cases are green; 20 hosts write within 1 s, spread over more than 0.5 s.

--- a/src/plugins/entry/host_announcer.cpp
+++ b/src/plugins/entry/host_announcer.cpp
@@ -1,5 +1,6 @@
 #include "host_announcer.hpp"
 
+#include "quincewing/base/hash.hpp"
 #include "quincewing/deployment/host_record.hpp"
 #include "quincewing/logging/event_log.hpp"
 
@@ -8,6 +9,8 @@
 namespace {
 
 constexpr millis retry_pause{400};
+// Until a host writes its record again, after the store came back older.
+constexpr millis max_delay{1000};
 
 } // namespace
 
@@ -38,6 +41,16 @@
     }
 }
 
+// Not all hosts at once.
+void host_announcer::on_store_era(instant now)
+{
+    announced_ = false;
+    peers_found_ = false;
+    const auto delay =
+        stable_hash(context_.self.value) % static_cast<std::uint64_t>(max_delay.count());
+    next_attempt_ = now + millis{static_cast<millis::rep>(delay)};
+}
+
 void host_announcer::announce()
 {
     call_pending_ = true;
@@ -62,7 +75,8 @@
             next_attempt_ = monotonic_now() + retry_pause;
             return;
         }
-        peers_found_ = true;
+        // Unless the store came back older meanwhile.
+        peers_found_ = announced_;
         std::size_t found = 0;
         for (const auto& it : page.records) {
             if (it.value && is_address(it.key)) {
--- a/src/plugins/entry/host_announcer.hpp
+++ b/src/plugins/entry/host_announcer.hpp
@@ -15,6 +15,8 @@
     host_announcer(host_context context, peers_task& peers);
 
     void tick(instant now);
+    /// The store came back from an older copy, which may lack this host's record and others'.
+    void on_store_era(instant now);
     /// Links to a host that has opened a connection to here.
     void link_back(const peer_identity& visitor);
     /// Removes this host's record; done is called after the attempt, successful or not.
