Quarantines: what the store lost when it came back older is written again

Seen: quarantines that the copy lacks are gone if all hosts restart; the coordinating host takes them to be stored.

Cause: crash_exchange reads the stored quarantines only when it begins to coordinate. Reading again while a change was being made forgot that change (stored_ = {}), so that its answer counted for the next one; with that assignment in begin_read the case "a read leaves a change that is being made" fails.

Change: on_store_era makes the coordinating host read again, and so write what the store lacks; begin_read forgets what the store holds, but not the change under way.

--- a/include/quincewing/admission/stored_quarantines.hpp
+++ b/include/quincewing/admission/stored_quarantines.hpp
@@ -28,6 +28,8 @@
 class stored_quarantines
 {
 public:
+    /// The records are read anew: only those that follow are in the store.
+    void begin_read() { stored_.clear(); }
     /// A record that was read. Its marks are merged into the guard. Returns an error text if the
     /// record cannot be decoded.
     tl::expected<void, std::string> on_record(instant now, wall_time wall,
--- a/src/plugins/entry/crash_exchange.cpp
+++ b/src/plugins/entry/crash_exchange.cpp
@@ -112,6 +112,12 @@
                                    [this](const store_page& page) { on_read(page); });
 }
 
+void crash_exchange::on_store_era(instant now)
+{
+    read_done_ = false;
+    next_read_ = now;
+}
+
 void crash_exchange::on_read(const store_page& page)
 {
     const auto now = monotonic_now();
@@ -122,7 +128,7 @@
         return;
     }
     read_done_ = true;
-    stored_ = {};
+    stored_.begin_read();
     for (const auto& it : page.records) {
         const auto fingerprint = fingerprint_of_key(it.key);
         if (!it.value || !fingerprint) {
--- a/src/plugins/entry/crash_exchange.hpp
+++ b/src/plugins/entry/crash_exchange.hpp
@@ -23,6 +23,8 @@
     void on_host_connected(const host_id& host);
     /// coordinating: this host is the one that writes to the store.
     void tick(instant now, bool coordinating);
+    /// The store came back from an older copy, which may lack quarantines.
+    void on_store_era(instant now);
 
     void on_message(const host_id& from, const crash_digest& it);
     void on_message(const host_id& from, const crash_report& it);
@@ -30,8 +32,8 @@
 private:
     void tell_findings(instant now);
     void tell_digest(const host_id& to, instant now);
-    /// Reads what the store holds: once after the start, and whenever this host begins to
-    /// coordinate.
+    /// Reads what the store holds: once after the start, whenever this host begins to coordinate,
+    /// and when the store came back older.
     void read_store(instant now, bool coordinating);
     void on_read(const store_page& page);
     void write_store(instant now);
--- a/tests/auto/admission/stored_quarantines_test.cpp
+++ b/tests/auto/admission/stored_quarantines_test.cpp
@@ -87,3 +87,31 @@
     CHECK(after.on_record(at(seconds{1000}), wall(0), crashing, *written->value, restarted));
     CHECK(restarted.quarantine_left(at(seconds{1000}), crashing) == seconds{600});
 }
+
+// Guards against quarantines that were lost with a restart of all hosts after the store had come
+// back from a copy that lacked them.
+TEST_CASE("stored quarantines: one that the store has lost is written again")
+{
+    const auto guard = guard_after_crashes();
+    stored_quarantines store;
+    REQUIRE(store.next_change(at(seconds{101}), wall(0), guard));
+    store.on_changed(at(seconds{101}), true);
+    REQUIRE_FALSE(store.next_change(at(seconds{102}), wall(1), guard));
+    store.begin_read();
+    const auto again = store.next_change(at(seconds{103}), wall(2), guard);
+    REQUIRE(again);
+    CHECK(again->fingerprint == crashing);
+    CHECK(again->value);
+}
+
+// Guards against an answer that was taken for the one to a later change.
+TEST_CASE("stored quarantines: a read leaves a change that is being made")
+{
+    const auto guard = guard_after_crashes();
+    stored_quarantines store;
+    REQUIRE(store.next_change(at(seconds{101}), wall(0), guard));
+    store.begin_read();
+    CHECK_FALSE(store.next_change(at(seconds{101}), wall(0), guard));
+    store.on_changed(at(seconds{102}), true);
+    CHECK_FALSE(store.next_change(at(seconds{102}), wall(1), guard));
+}
