Entry host: all that follow the store begin anew in a new era

The servers, the configuration, the host's own record and the stored quarantines start again from a full read when the store came back older; without the calls the new on_store_era methods did nothing in the product.

--- a/src/plugins/entry/entry_host.cpp
+++ b/src/plugins/entry/entry_host.cpp
@@ -221,10 +221,16 @@
 void entry_host::tasks::on_store_era(store_era from, store_era to)
 {
     log_event("store_era", {{"from", from.value}, {"to", to.value}});
-    coordination.on_store_era(monotonic_now(), to);
-    if (from != store_era{}) {
-        ++store_era_changes;
+    const auto now = monotonic_now();
+    coordination.on_store_era(now, to);
+    if (from == store_era{}) {
+        return;
     }
+    ++store_era_changes;
+    follower.on_store_era(now);
+    configuration.on_store_era(now);
+    announcer.on_store_era(now);
+    crashes.on_store_era(now);
 }
 
 void entry_host::tasks::log_store_calls()
