Requests: an answer without an id on a kept connection says nothing of a request

A faulty server wrote a refusal without an id on a kept connection, after it had taken the next request.

Cause: an answer of another request was known by its id only; an answer without one passed as the request's. Servers write the id of a request into each answer to it.

Change: an answer without an id, to a request with one, is passed over like an answer of another, unless the request is the first on its connection: then nothing else can be answered there. The request waits for its own answer; without one it may have run. The same on the host that sends for another one; what that hands on without an id leaves the outcome unknown. Log line answer_without_id. The connection is kept: closing it would break off a request that its server is at work on.

--- a/include/quincewing/http/client_connection.hpp
+++ b/include/quincewing/http/client_connection.hpp
@@ -52,6 +52,8 @@
     [[nodiscard]] bool busy() const { return busy_; }
     [[nodiscard]] bool closed() const { return bev_ == nullptr; }
     [[nodiscard]] bool sent() const override { return sent_; }
+    /// The connection carried no request before the latest one.
+    [[nodiscard]] bool first_request() const { return requests_ <= 1; }
     [[nodiscard]] const std::string& address() const { return options_.address; }
     /// The connection breaks when the server has acknowledged nothing for so long although bytes
     /// are on their way to it.
@@ -94,6 +96,7 @@
     bool skipping_{};
     /// The response that is being read is an interim one (1xx).
     bool interim_{};
+    std::size_t requests_{};
     /// Responses to other requests before the one to the request, and bytes of its body.
     std::size_t skipped_{};
     std::size_t body_bytes_{};
--- a/src/libs/http/client_connection.cpp
+++ b/src/libs/http/client_connection.cpp
@@ -149,6 +149,7 @@
                              bool response_has_body, client_connection_hooks hooks)
 {
     hooks_ = std::move(hooks);
+    ++requests_;
     busy_ = true;
     sent_ = false;
     response_has_body_ = response_has_body;
--- a/src/plugins/entry/request_flow.hpp
+++ b/src/plugins/entry/request_flow.hpp
@@ -107,6 +107,8 @@
     [[nodiscard]] server_process process() const;
     /// The connection broke after the request was sent: the request may have crashed the server.
     void note_crash(duration ran_for);
+    /// Whether the answer is to this request and to no other.
+    [[nodiscard]] bool answers_this(const message_head& head) const;
     head_action on_head(message_head& head);
     void on_body(const char* buf, std::size_t n);
     void on_end(bool reusable);
--- a/src/plugins/entry/request_flow_server.cpp
+++ b/src/plugins/entry/request_flow_server.cpp
@@ -1,5 +1,6 @@
 #include "request_flow.hpp"
 
+#include "answer_match.hpp"
 #include "http_status.hpp"
 
 #include "quincewing/base/hash.hpp"
@@ -53,17 +54,33 @@
     }
 }
 
+// A server may write an answer to an earlier request once more, where the answer to this one is
+// due. What another host's connection carried before is not known here.
+bool request_flow::answers_this(const message_head& head) const
+{
+    const auto* answered = find_header(head.headers, context_.platform.names.request_id);
+    const bool first = connection_ && connection_->first_request();
+    switch (match_answer(id_, answered, first)) {
+    case answer_match::own:
+        return true;
+    case answer_match::of_another:
+        log_event("answer_of_another",
+                  {{"request", id_}, {"answer", *answered}, {"server", server_.id.value}});
+        return false;
+    case answer_match::without_id:
+        log_event("answer_without_id",
+                  {{"request", id_}, {"status", head.status}, {"server", server_.id.value}});
+        return false;
+    }
+    return false;
+}
+
 head_action request_flow::on_head(message_head& head)
 {
     if (connection_) {
         services_.reach.on_answer();
     }
-    const auto& names = context_.platform.names;
-    const auto* echoed = find_header(head.headers, names.request_id);
-    // A server may respond twice to an earlier request; that response is not this request's.
-    if (!id_.empty() && echoed != nullptr && *echoed != id_) {
-        log_event("answer_of_another",
-                  {{"request", id_}, {"answer", *echoed}, {"server", server_.id.value}});
+    if (!answers_this(head)) {
         services_.on_notice(server_, {}, context_.platform.decode_notice(head));
         return head_action::skip;
     }
@@ -78,7 +95,8 @@
     services_.on_notice(server_, certainly_its_own ? sent_at_ : instant{}, notice);
     report_.running = notice.running;
     report_.waiting = notice.waiting;
-    const bool marked_not_run = find_header(response_.headers, names.not_run) != nullptr;
+    const bool marked_not_run =
+        find_header(response_.headers, context_.platform.names.not_run) != nullptr;
     if (marked_not_run || response_.status == http_status::misdirected) {
         report_.outcome = attempt_outcome::rejected;
         channel()->set_body_limit(max_ignored_body);
--- a/src/plugins/entry/request_relay.cpp
+++ b/src/plugins/entry/request_relay.cpp
@@ -1,5 +1,6 @@
 #include "request_relay.hpp"
 
+#include "answer_match.hpp"
 #include "http_status.hpp"
 #include "relay_protocol.hpp"
 
@@ -128,14 +129,31 @@
          .on_lost = [this, raw](connection_loss how) { on_lost(*raw, how); }});
 }
 
+bool request_relay::answers(const relay& it, const message_head& head) const
+{
+    const auto* wanted =
+        find_header(it.request->request.headers, relay_protocol::request_id_header);
+    const auto* answered = find_header(head.headers, context_.platform.names.request_id);
+    const auto id = wanted == nullptr ? std::string{} : *wanted;
+    const bool own =
+        match_answer(id, answered, it.connection->first_request()) == answer_match::own;
+    if (!own) {
+        const bool has_id = answered != nullptr && !answered->empty();
+        log_event(has_id ? "answer_of_another" : "answer_without_id",
+                  {{"request", id},
+                   {"answer", has_id ? *answered : ""},
+                   {"status", head.status},
+                   {"server", it.server.id.value},
+                   {"for_host", it.request->peer.value}});
+    }
+    return own;
+}
+
 head_action request_relay::on_head(relay& it, message_head& head)
 {
     reach_.on_answer();
     const auto notice = context_.platform.decode_notice(head);
-    const auto* echoed = find_header(head.headers, context_.platform.names.request_id);
-    const auto* wanted =
-        find_header(it.request->request.headers, relay_protocol::request_id_header);
-    if (wanted != nullptr && !wanted->empty() && echoed != nullptr && *echoed != *wanted) {
+    if (!answers(it, head)) {
         hooks_.on_notice(it.server, {}, notice);
         return head_action::skip;
     }
--- a/src/plugins/entry/request_relay.hpp
+++ b/src/plugins/entry/request_relay.hpp
@@ -48,6 +48,8 @@
     [[nodiscard]] bool still_usable(const backend_server& server) const;
     [[nodiscard]] duration max_idle_of(const exchange& it) const;
     void send(const relay_ptr& it);
+    /// Whether the answer is to this request and to no other.
+    [[nodiscard]] bool answers(const relay& it, const message_head& head) const;
     head_action on_head(relay& it, message_head& head);
     void on_body(relay& it, const char* buf, std::size_t n);
     void on_end(relay& it, bool reusable);
--- /dev/null
+++ b/tests/auto/entry/relay_run.hpp
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "raw_server.hpp"
+#include "small_deployment.hpp"
+
+#include "quincewing/entry/entry_host.hpp"
+#include "quincewing/peers/peers_task.hpp"
+
+#include <memory>
+#include <string>
+
+namespace quincewing::testing {
+
+/// An entry host with one server, and another host that sends requests by way of it.
+class relay_run
+{
+public:
+    explicit relay_run(retry_policy retry);
+
+    /// Sends a request of this id and waits until the server has it.
+    void send(const std::string& id);
+    void run(duration time);
+    /// The statuses of the answers that came back, separated by spaces; "lost" for none.
+    [[nodiscard]] const std::string& statuses() const { return statuses_; }
+
+private:
+    [[nodiscard]] deployment_api api();
+
+    event_loop loop_;
+    small_deployment deployment_;
+
+public:
+    raw_server server;
+
+private:
+    entry_host host_;
+    bool idempotent_;
+    std::string statuses_;
+
+public:
+    std::unique_ptr<peers_task> origin;
+};
+
+} // namespace quincewing::testing
