Requests: one that was refused is not sent again on the same connection

A server refused a request with a key, got it again on the same connection, and wrote the refusal once more while it ran it.

Cause: the refusal of the first send and the answer to the second bear the same id.

Change: a connection remembers the requests that were refused on it and that must run at most once, until their deadline; a request goes on none of these, but on another idle connection, or a new one. The same on the host that sends for another one. Requests that may be repeated, and refusals after which the request goes to another server, open no further connection.

Measured: "repeated answer: a request goes on no connection on which it was refused" had three sends, two runs and 503; now one run and 200. "entry relay: a request goes on no connection on which it was refused" got "503 503" with the memory taken out, now "503 200".

--- a/src/plugins/entry/request_flow.hpp
+++ b/src/plugins/entry/request_flow.hpp
@@ -167,7 +167,7 @@
     server_id required_server_;
     backend_server server_;
     /// One of the two while the request is at a server.
-    std::unique_ptr<client_connection> connection_;
+    std::unique_ptr<server_connection> connection_;
     std::shared_ptr<relayed_request> relayed_;
     /// Hosts that this send went by way of without reaching the server.
     std::set<host_id> relays_tried_;
--- a/src/plugins/entry/request_flow_send.cpp
+++ b/src/plugins/entry/request_flow_send.cpp
@@ -1,5 +1,7 @@
 #include "request_flow.hpp"
 
+#include "quincewing/base/hash.hpp"
+
 #include <algorithm>
 #include <strings.h>
 #include <utility>
@@ -104,7 +106,7 @@
 void request_flow::send_directly()
 {
     report_ = {};
-    connection_ = services_.connections.acquire(server_.address, max_idle());
+    connection_ = services_.connections.acquire(server_.address, max_idle(), stable_hash(id_));
     connection_->set_unacknowledged_timeout(silence_timeout());
     connection_->send(server_request_head(), exchange_->body, exchange_->head.method != "HEAD",
                       channel_hooks());
--- a/src/plugins/entry/request_flow_server.cpp
+++ b/src/plugins/entry/request_flow_server.cpp
@@ -212,6 +212,9 @@
     if (response_.status != http_status::misdirected) {
         services_.crashes.on_process_alive(process(), sent_at_);
     }
+    if (connection_ && outcome == attempt_outcome::rejected && !idempotent()) {
+        connection_->refused.add(stable_hash(id_), now, deadline_ + response_grace);
+    }
     leave_server(outcome, reusable);
     if (exchange_->disconnected()) {
         finish(0, to_string(exchange_->disconnect_cause()));
--- a/src/plugins/entry/request_relay.cpp
+++ b/src/plugins/entry/request_relay.cpp
@@ -4,6 +4,7 @@
 #include "http_status.hpp"
 #include "relay_protocol.hpp"
 
+#include "quincewing/base/hash.hpp"
 #include "quincewing/logging/event_log.hpp"
 
 #include <algorithm>
@@ -26,11 +27,19 @@
 {
     exchange_ptr request;
     backend_server server;
-    std::unique_ptr<client_connection> connection;
+    std::unique_ptr<server_connection> connection;
     std::size_t bytes{};
     instant sent_at;
     bool head_sent{};
+    /// The server states that it did not run the request.
+    bool refused{};
     bool over{};
+
+    [[nodiscard]] std::string id() const
+    {
+        const auto* it = find_header(request->request.headers, relay_protocol::request_id_header);
+        return it == nullptr ? std::string{} : *it;
+    }
 };
 
 request_relay::request_relay(host_context context, peers_task& peers, reach_task& reach,
@@ -110,7 +119,8 @@
         }
     };
     it->sent_at = monotonic_now();
-    it->connection = connections_.acquire(it->server.address, max_idle_of(*it->request));
+    it->connection =
+        connections_.acquire(it->server.address, max_idle_of(*it->request), stable_hash(it->id()));
     it->connection->set_unacknowledged_timeout(
         server_connections::silence_timeout(it->request->request.idempotent, it->bytes));
     auto* raw = it.get();
@@ -131,10 +141,8 @@
 
 bool request_relay::answers(const relay& it, const message_head& head) const
 {
-    const auto* wanted =
-        find_header(it.request->request.headers, relay_protocol::request_id_header);
     const auto* answered = find_header(head.headers, context_.platform.names.request_id);
-    const auto id = wanted == nullptr ? std::string{} : *wanted;
+    const auto id = it.id();
     const bool own =
         match_answer(id, answered, it.connection->first_request()) == answer_match::own;
     if (!own) {
@@ -159,6 +167,8 @@
     }
     const bool certainly_its_own = head.status != http_status::misdirected;
     hooks_.on_notice(it.server, certainly_its_own ? it.sent_at : instant{}, notice);
+    it.refused = find_header(head.headers, context_.platform.names.not_run) != nullptr ||
+                 head.status == http_status::misdirected;
     response_head out{.status = head.status, .length = head.length};
     const auto* connection = find_header(head.headers, "Connection");
     for (const auto& [name, value] : head.headers) {
@@ -188,6 +198,11 @@
 
 void request_relay::on_end(relay& it, bool reusable)
 {
+    const auto& request = it.request->request;
+    if (it.refused && !request.idempotent) {
+        it.connection->refused.add(stable_hash(it.id()), monotonic_now(),
+                                   request.deadline + relay_grace);
+    }
     if (reusable) {
         connections_.release(std::move(it.connection));
     }
--- a/src/plugins/entry/server_connections.cpp
+++ b/src/plugins/entry/server_connections.cpp
@@ -37,7 +37,7 @@
     return body_bytes < long_body ? duration{short_body_timeout} : long_body_timeout;
 }
 
-bool server_connections::usable(instant now, const client_connection& it, duration max_idle)
+bool server_connections::usable(instant now, const server_connection& it, duration max_idle)
 {
     return !it.closed() && !expired(now, it) && now - it.last_response_at() < max_idle;
 }
@@ -62,14 +62,17 @@
     std::erase_if(idle, [](const auto& it) { return it == nullptr; });
 }
 
-std::unique_ptr<client_connection> server_connections::acquire(const std::string& address,
-                                                               duration max_idle)
+std::unique_ptr<server_connection>
+server_connections::acquire(const std::string& address, duration max_idle, std::uint64_t request)
 {
     const auto now = monotonic_now();
     auto& idle = idle_[address];
-    while (!idle.empty()) {
-        auto it = std::move(idle.back());
-        idle.pop_back();
+    for (auto i = idle.size(); i-- > 0;) {
+        if (usable(now, *idle[i], max_idle) && idle[i]->refused.contains(request)) {
+            continue;
+        }
+        auto it = std::move(idle[i]);
+        idle.erase(idle.begin() + static_cast<std::ptrdiff_t>(i));
         if (usable(now, *it, max_idle)) {
             it->set_on_idle_close(nullptr);
             return it;
@@ -77,23 +80,23 @@
         discard(std::move(it));
     }
     ++opened_total_;
-    return std::make_unique<client_connection>(
+    return std::make_unique<server_connection>(
         context_.loop, client_connection_options{.address = address,
                                                  .from = context_.settings.servers_from,
                                                  .connect_timeout = connect_timeout});
 }
 
-void server_connections::release(std::unique_ptr<client_connection> it)
+void server_connections::release(std::unique_ptr<server_connection> it)
 {
     auto& idle = idle_[it->address()];
-    if (it->closed() || idle.size() >= max_idle_per_server) {
+    if (it->closed() || it->refused.full() || idle.size() >= max_idle_per_server) {
         discard(std::move(it));
         return;
     }
     idle.push_back(std::move(it));
 }
 
-void server_connections::discard(std::unique_ptr<client_connection> it)
+void server_connections::discard(std::unique_ptr<server_connection> it)
 {
     it->set_on_idle_close(nullptr);
     discarded_.push_back(std::move(it));
@@ -102,7 +105,7 @@
 
 // Leaves a margin before the server's timeout: otherwise the server may close the connection while
 // a request is in flight.
-bool server_connections::expired(instant now, const client_connection& it)
+bool server_connections::expired(instant now, const server_connection& it)
 {
     const auto timeout = it.keep_alive_timeout() > duration{0}
                              ? it.keep_alive_timeout()
--- a/tests/auto/entry/relay_test.cpp
+++ b/tests/auto/entry/relay_test.cpp
@@ -59,3 +59,18 @@
     it.run(millis{100});
     CHECK(it.statuses() == "200 200");
 }
+
+// Guards against a request that runs twice, or is refused though it runs: the refusal of its first
+// send comes again where the answer to its second one is due.
+TEST_CASE("entry relay: a request goes on no connection on which it was refused")
+{
+    relay_run it{retry_policy::at_most_once};
+    it.send("a");
+    it.server.send(refusal_of("a"));
+    it.run(millis{100});
+    it.send("a");
+    it.server.send(refusal_of("a"), 0);
+    it.server.send(response_to("a", "ok"), 1);
+    it.run(millis{100});
+    CHECK(it.statuses() == "503 200");
+}
--- a/tests/auto/entry/repeated_answer_test.cpp
+++ b/tests/auto/entry/repeated_answer_test.cpp
@@ -55,6 +55,27 @@
     CHECK_MESSAGE(it.statuses(0) == "503", it.received(0));
 }
 
+// Guards against a request that runs twice, or is refused though it runs: the refusal of its first
+// send comes again where the answer to its second one is due.
+TEST_CASE("repeated answer: a request goes on no connection on which it was refused")
+{
+    answer_run it{{.keyed = true}};
+    int sends = 0;
+    int runs = 0;
+    it.on_request = [&](std::size_t n, const std::string& id) {
+        if (++sends == 1) {
+            it.server.send(refusal_of(id), n);
+            return;
+        }
+        ++runs;
+        it.server.send(refusal_of(id), 0);
+        it.after(millis{100}, [&it, n, id] { it.server.send(response_to(id, "ok"), n); });
+    };
+    it.run(millis{1500}, [&] { it.call("a"); });
+    CHECK(runs == 1);
+    CHECK_MESSAGE(it.statuses(0) == "200", it.received(0));
+}
+
 // Guards against a success without a status or an end: the answer to another request, which ends
 // with the connection, comes where the answer is due.
 TEST_CASE("repeated answer: another's answer that ends with the connection is no answer")
