Requests: one without an id gets no answer that bears another's

What callers saw: a success that belongs to another request (MIXED). A caller sent a request without an id; a faulty server wrote an earlier answer once more on the kept connection.

Cause: an answer's id was compared only with requests that have one.

Change: to a request without an id, an answer that bears one is an answer of another, unless the request is the first on its connection.

Measured: "repeated answer: a request without an id gets no answer that bears one" got 200 with the answer to a, now its own refusal.

--- a/src/plugins/entry/answer_match.cpp
+++ b/src/plugins/entry/answer_match.cpp
@@ -8,10 +8,13 @@
                           bool first_on_connection)
 {
     const bool has_id = answered != nullptr && !answered->empty();
-    if (has_id) {
-        return wanted.empty() || *answered == wanted ? answer_match::own : answer_match::of_another;
+    if (has_id && *answered != wanted) {
+        return wanted.empty() && first_on_connection ? answer_match::own : answer_match::of_another;
     }
-    return wanted.empty() || first_on_connection ? answer_match::own : answer_match::without_id;
+    if (has_id || wanted.empty() || first_on_connection) {
+        return answer_match::own;
+    }
+    return answer_match::without_id;
 }
 
 } // namespace quincewing
--- a/tests/auto/entry/answer_run.hpp
+++ b/tests/auto/entry/answer_run.hpp
@@ -24,7 +24,7 @@
     /// Starts the host, calls begin once it serves, and runs for this long from then.
     void run(duration time, const std::function<void()>& begin);
     void after(duration time, std::function<void()> step);
-    /// Sends a request of this id on a caller's connection of its own.
+    /// Sends a request of this id (empty: without one) on a caller's connection of its own.
     void call(const std::string& id);
     void stop_host();
     /// Status codes of the responses to the n-th request.
--- a/tests/auto/entry/repeated_answer_test.cpp
+++ b/tests/auto/entry/repeated_answer_test.cpp
@@ -87,3 +87,25 @@
     it.run(millis{500}, [&] { it.call("a"); });
     CHECK_MESSAGE(it.statuses(0) == "502", it.received(0));
 }
+
+// Guards against a request without an id that gets the answer to an earlier request.
+TEST_CASE("repeated answer: a request without an id gets no answer that bears one")
+{
+    answer_run it{{}};
+    it.on_request = [&](std::size_t n, const std::string& id) {
+        it.server.send(response_to(id, "ok"), n);
+    };
+    int arrivals = 0;
+    it.server.on_received = [&] {
+        if (++arrivals == 2) {
+            it.server.send(response_to("a", "ok"));
+            it.after(millis{100}, [&] { it.server.send(refusal_of("")); });
+        }
+    };
+    it.run(millis{800}, [&] {
+        it.call("a");
+        it.after(millis{200}, [&] { it.call(""); });
+    });
+    CHECK_MESSAGE(it.statuses(0) == "200", it.received(0));
+    CHECK_MESSAGE(it.statuses(1) == "503", it.received(1));
+}
