--- a/tests/auto/entry/answer_run.hpp
+++ b/tests/auto/entry/answer_run.hpp
@@ -27,6 +27,8 @@
     /// Sends a request of this id (empty: without one) on a caller's connection of its own.
     void call(const std::string& id);
     void stop_host();
+    /// Requests sent so far.
+    [[nodiscard]] std::size_t calls() const { return callers_.size(); }
     /// Status codes of the responses to the n-th request.
     [[nodiscard]] std::string statuses(std::size_t n) const { return callers_[n]->statuses(); }
     [[nodiscard]] const std::string& received(std::size_t n) const
