--- a/src/plugins/entry/request_flow.hpp
+++ b/src/plugins/entry/request_flow.hpp
@@ -107,6 +107,8 @@
     [[nodiscard]] server_process process() const;
     /// The connection broke after the request was sent: the request may have crashed the server.
     void note_crash(duration ran_for);
+    /// Whether the answer is to this request and to no other.
+    [[nodiscard]] bool answers_this(const message_head& head) const;
     head_action on_head(message_head& head);
     void on_body(const char* buf, std::size_t n);
     void on_end(bool reusable);
@@ -165,7 +167,7 @@
     server_id required_server_;
     backend_server server_;
     /// One of the two while the request is at a server.
-    std::unique_ptr<client_connection> connection_;
+    std::unique_ptr<server_connection> connection_;
     std::shared_ptr<relayed_request> relayed_;
     /// Hosts that this send went by way of without reaching the server.
     std::set<host_id> relays_tried_;
