Entry: a success that ends with its connection counts only if it is signed

Callers saw a 200 with an empty or short body, framed as whole, when a server ended its head early (an empty line, then a close): without the length and the signature that were still due, the head is one whose body ends with the connection, so any part of it counted as whole.

Evidence: "entry cut response: a success without a length and a signature is none" gave a caller 200 with the five bytes, chunked (may not be repeated) or with Content-Length: 5 (may be), and gives 502 now. Such a response is passed over like one of another request, here and on a host that sends for another (request_relay, by reading): what follows its head is dropped, and the end of the connection is a loss, upon which the request is sent again if it may be. A signed one without a length still ends with its connection (test). A server's answers are signed, so nothing is refused that a caller could use.

Endless answers: the stand-in signs its body of no length, as servers do, and "unsigned" is the kind that it sent before; the check is the same for both.

--- a/src/libs/http/client_connection.cpp
+++ b/src/libs/http/client_connection.cpp
@@ -224,6 +224,7 @@
     if (interim_) {
         return head_action::skip;
     }
+    head.ends_with_stream = head.ends_with_stream && response_has_body_;
     reusable_ = head.keep_alive;
     keep_alive_timeout_ = parse_keep_alive_timeout(head.headers);
     return hooks_.on_head ? hooks_.on_head(head) : head_action::accept;
--- a/src/plugins/entry/http_status.hpp
+++ b/src/plugins/entry/http_status.hpp
@@ -3,6 +3,8 @@
 /// Status codes of responses to callers and from servers.
 namespace quincewing::http_status {
 
+inline constexpr int ok = 200;
+inline constexpr int redirection = 300;
 inline constexpr int bad_request = 400;
 inline constexpr int not_found = 404;
 inline constexpr int request_timeout = 408;
--- a/src/plugins/entry/request_flow_server.cpp
+++ b/src/plugins/entry/request_flow_server.cpp
@@ -1,6 +1,7 @@
 #include "request_flow.hpp"
 
 #include "http_status.hpp"
+#include "request_properties.hpp"
 
 #include "quincewing/base/hash.hpp"
 #include "quincewing/logging/event_log.hpp"
@@ -67,6 +68,10 @@
         services_.on_notice(server_, {}, context_.platform.decode_notice(head));
         return head_action::skip;
     }
+    if (is_unproven_success(head, names.response_signature)) {
+        log_event("answer_unproven", {{"request", id_}, {"server", server_.id.value}});
+        return head_action::skip;
+    }
     response_ = std::move(head);
     // Another process at the address answers 421 too.
     const bool certainly_its_own = response_.status != http_status::misdirected;
--- a/src/plugins/entry/request_properties.cpp
+++ b/src/plugins/entry/request_properties.cpp
@@ -1,5 +1,7 @@
 #include "request_properties.hpp"
 
+#include "http_status.hpp"
+
 #include "quincewing/admission/request_fingerprint.hpp"
 
 #include <charconv>
@@ -47,4 +49,12 @@
                            .credentials = header("Authorization")});
 }
 
+bool is_unproven_success(const message_head& response, const std::string& signature_header)
+{
+    const bool success =
+        response.status >= http_status::ok && response.status < http_status::redirection;
+    return success && response.ends_with_stream &&
+           find_header(response.headers, signature_header) == nullptr;
+}
+
 } // namespace quincewing
--- a/src/plugins/entry/request_relay.cpp
+++ b/src/plugins/entry/request_relay.cpp
@@ -2,6 +2,7 @@
 
 #include "http_status.hpp"
 #include "relay_protocol.hpp"
+#include "request_properties.hpp"
 
 #include "quincewing/logging/event_log.hpp"
 
@@ -139,6 +140,10 @@
         hooks_.on_notice(it.server, {}, notice);
         return head_action::skip;
     }
+    if (is_unproven_success(head, context_.platform.names.response_signature)) {
+        log_event("answer_unproven", {{"server", it.server.id.value}});
+        return head_action::skip;
+    }
     const bool certainly_its_own = head.status != http_status::misdirected;
     hooks_.on_notice(it.server, certainly_its_own ? it.sent_at : instant{}, notice);
     response_head out{.status = head.status, .length = head.length};
