--- a/src/libs/admission/crash_guard.cpp
+++ b/src/libs/admission/crash_guard.cpp
@@ -230,8 +230,8 @@
 std::optional<crash_report> crash_guard::on_report(instant now, const crash_report& report)
 {
     for (const auto& it : report.marks) {
-        const duration age{static_cast<duration::rep>(it.age)};
-        if (age < options_.memory) {
+        if (it.age < static_cast<std::uint64_t>(options_.memory.count())) {
+            const duration age{static_cast<duration::rep>(it.age)};
             add(now, it.fingerprint,
                 {.process = it.process,
                  .alone = it.alone,
--- a/src/libs/admission/stored_quarantines.cpp
+++ b/src/libs/admission/stored_quarantines.cpp
@@ -3,6 +3,7 @@
 #include "quincewing/codec/codec.hpp"
 
 #include <algorithm>
+#include <limits>
 
 namespace quincewing {
 
@@ -43,10 +44,11 @@
     if (!record) {
         return tl::make_unexpected(record.error());
     }
-    const auto written = wall_time{seconds{static_cast<seconds::rep>(record->written)}};
-    const duration age = std::max(wall - written, seconds{0});
+    const auto now_s = static_cast<std::uint64_t>(wall.time_since_epoch().count());
+    const seconds since{now_s > record->written ? now_s - record->written : 0};
+    const auto age = static_cast<std::uint64_t>(duration{since}.count());
     for (auto& it : record->marks) {
-        it.age += static_cast<std::uint64_t>(age.count());
+        it.age += std::min(age, std::numeric_limits<std::uint64_t>::max() - it.age);
     }
     guard.on_report(now, {.marks = std::move(record->marks)});
     return {};
--- a/src/libs/deployment/host_record.cpp
+++ b/src/libs/deployment/host_record.cpp
@@ -1,6 +1,5 @@
 #include "quincewing/deployment/host_record.hpp"
 
-#include <algorithm>
 #include <cstdlib>
 
 namespace quincewing {
@@ -8,6 +7,8 @@
 namespace {
 
 constexpr std::string_view cores_field = " cores=";
+// More than one machine has.
+constexpr double max_cores = 65'536;
 
 } // namespace
 
@@ -25,7 +26,9 @@
     const auto at = text.find(cores_field);
     if (at != std::string_view::npos) {
         const std::string number{text.substr(at + cores_field.size())};
-        out.cores = std::max(std::strtod(number.c_str(), nullptr), 0.0);
+        const auto cores = std::strtod(number.c_str(), nullptr);
+        // False for what is no number, too.
+        out.cores = cores > 0 && cores <= max_cores ? cores : 0;
     }
     return out;
 }
--- a/tests/auto/deployment/host_record_test.cpp
+++ b/tests/auto/deployment/host_record_test.cpp
@@ -19,6 +19,9 @@
     CHECK(parse_host_record("").host.value.empty());
     CHECK(parse_host_record("h cores=").cores == 0);
     CHECK(parse_host_record("h cores=-3").cores == 0);
+    CHECK(parse_host_record("h cores=nan").cores == 0);
+    CHECK(parse_host_record("h cores=inf").cores == 0);
+    CHECK(parse_host_record("h cores=1e300").cores == 0);
     CHECK(parse_host_record("h cores=x later=1").cores == 0);
     CHECK(parse_host_record("h cores=0.25 later=1").cores == 0.25);
 }
