--- a/src/libs/assignment/coordinator_eras.cpp
+++ b/src/libs/assignment/coordinator_eras.cpp
@@ -149,7 +149,8 @@
         if (state == nullptr || !state->proven) {
             return false;
         }
-        covered += std::min(range.keys.last, keys.last) - std::max(range.keys.first, keys.first) + 1U;
+        covered +=
+            std::min(range.keys.last, keys.last) - std::max(range.keys.first, keys.first) + 1U;
     }
     return covered == keys.size();
 }
