--- a/src/plugins/entry/request_flow_server.cpp
+++ b/src/plugins/entry/request_flow_server.cpp
@@ -85,7 +85,7 @@
         services_.on_notice(server_, {}, context_.platform.decode_notice(head));
         return head_action::skip;
     }
-    if (is_unproven_success(head, names.response_signature)) {
+    if (is_unproven_success(head, context_.platform.names.response_signature)) {
         log_event("answer_unproven", {{"request", id_}, {"server", server_.id.value}});
         return head_action::skip;
     }
