A repeated answer of a server no longer confirms a release of keys

Seen: two servers worked on the same keys. A server that wrote the 200 of a grant once more when the release had come made the release count as accepted at once, without a token, while its work on the keys went on; the coordinator gave them to another server.

Cause: call_pool gives each call the next answer on a kept connection, the answers bear no number, and coordinator::confirms_release took any 200. The same with the answer of an earlier release.

The release then goes out on a connection of its own, and on any when that is turned away. Grants confirmed on the reset connection are confirmed anew. Releases that are answered in order cost nothing more.

--- a/include/quincewing/assignment/coordinator.hpp
+++ b/include/quincewing/assignment/coordinator.hpp
@@ -63,6 +63,7 @@
     bool wait_in_new_era{true};
     bool prove_after_earlier_eras{true};
     bool heed_era_of_table{true};
+    bool release_by_own_answer{true};
 };
 
 /// Why the previous owner of a range counts as not holding it any more.
@@ -107,7 +108,7 @@
     /// The store has come back from an older copy, or its era is known for the first time. To be
     /// called before what an answer of that era holds is passed in.
     void on_store_era(instant now, store_era era);
-    /// handoff: token of a release, may be empty; connection: the one that carried a grant.
+    /// handoff: token of a release, may be empty; connection: the one that carried the call.
     void on_call(instant now, call_number number, call_outcome outcome, std::string handoff,
                  connection_number connection);
     /// Newest table of another host that coordinates, and the age of its last read of the store.
@@ -161,6 +162,8 @@
         bool proven{};
         /// Connection of the last confirmed grant under the current fence.
         connection_number connection;
+        /// The last release got an answer that may be another call's.
+        bool release_doubtful{};
         /// Handoff token of the previous owner's release; may be empty.
         std::string handoff;
         instant next_call{};
@@ -225,6 +228,8 @@
     void advance_range(instant now, const assigned_range& range);
     void on_grant(instant now, const assigned_range& range, const pending_call& call,
                   call_outcome outcome, connection_number connection);
+    /// The answers on the connection may be those of earlier calls.
+    void doubt_connection(instant now, connection_number connection);
     void on_release(instant now, const assigned_range& range, call_outcome outcome,
                     std::string handoff);
     void release_previous_owner(instant now, const assigned_range& range, range_state& state);
--- a/include/quincewing/assignment/coordinator_effects.hpp
+++ b/include/quincewing/assignment/coordinator_effects.hpp
@@ -56,6 +56,8 @@
     key_range keys;
     std::uint64_t fence{};
     duration timeout{};
+    /// On a connection that carries no other call, so that the answer can be nobody else's.
+    bool own_connection{};
 };
 
 using coordinator_effect = std::variant<read_table, append_table, grant_keys, release_keys>;
@@ -70,7 +72,9 @@
     /// No byte of the call was sent.
     not_sent,
     /// No answer: the call may have taken effect, or may still do so.
-    unknown
+    unknown,
+    /// The answer may be that of another call on the connection, which is closed.
+    doubtful
 };
 
 enum class append_outcome
--- a/include/quincewing/http/call_pool.hpp
+++ b/include/quincewing/http/call_pool.hpp
@@ -37,6 +37,13 @@
 
     /// Queues the call. done is invoked once, never before this function returns.
     void call(http_request request, std::function<void(const http_answer&)> done);
+    /// Resets a connection on which no call is under way.
+    void close(const std::string& address, std::uint64_t connection);
+    /// Sets the function that is called when a connection has ended.
+    void set_on_closed(std::function<void(std::uint64_t connection)> hook)
+    {
+        on_closed_ = std::move(hook);
+    }
 
 private:
     struct pooled_connection;
@@ -52,6 +59,7 @@
         std::deque<pending_call> pending;
     };
 
+    void remove(const pooled_connection& it);
     static bool may_carry(const pooled_connection& it, const http_request& request);
     void start_pending(const std::string& address);
     void start(pooled_connection& it, pending_call call);
@@ -60,6 +68,7 @@
 
     event_loop& loop_;
     call_pool_options options_;
+    std::function<void(std::uint64_t)> on_closed_;
     std::uint64_t last_connection_number_{};
     std::map<std::string, address_state> addresses_;
     /// Destroyed later, as a connection must not be destroyed inside its hooks.
--- a/include/quincewing/net/http_call.hpp
+++ b/include/quincewing/net/http_call.hpp
@@ -24,6 +24,8 @@
     duration timeout{seconds{2}};
     /// Of a pool's connections only those that are not newer may carry the call; 0: any.
     std::uint64_t newest_connection{};
+    /// Of a pool only a connection that carried no other call may carry the call.
+    bool own_connection{};
 };
 
 /// status 0 when no answer came.
@@ -38,6 +40,8 @@
     bool sent{true};
     /// Number of the pool's connection that carried the call; 0 outside a pool.
     std::uint64_t connection{};
+    /// The pool's connection carried no other call before.
+    bool first_on_connection{};
 };
 
 /// One request on a connection of its own, for control traffic; done is called once.
--- a/src/libs/assignment/coordinator_ranges.cpp
+++ b/src/libs/assignment/coordinator_ranges.cpp
@@ -15,7 +15,8 @@
 // A restart of the holder confirms nothing: a grant may have reached the new process since.
 bool coordinator::confirms_release(const assigned_range& range, call_outcome outcome) const
 {
-    if (outcome == call_outcome::accepted) {
+    const bool doubtful = outcome == call_outcome::doubtful && !options_.release_by_own_answer;
+    if (outcome == call_outcome::accepted || doubtful) {
         return true;
     }
     const bool other_service =
@@ -101,7 +102,8 @@
                      .holder = range.previous_owner,
                      .keys = range.keys,
                      .fence = options_.release_with_new_fence ? range.fence : range.fence - 1,
-                     .timeout = options_.release_timeout});
+                     .timeout = options_.release_timeout,
+                     .own_connection = state.release_doubtful});
 }
 
 void coordinator::grant_range(instant now, const assigned_range& range, range_state& state)
@@ -135,6 +137,9 @@
 void coordinator::on_call(instant now, call_number number, call_outcome outcome,
                           std::string handoff, connection_number connection)
 {
+    if (outcome == call_outcome::doubtful) {
+        doubt_connection(now, connection);
+    }
     const auto call = calls_.find(number);
     if (call == calls_.end()) {
         return;
@@ -159,6 +164,22 @@
     }
 }
 
+// Each range granted on the connection may have been confirmed by the answer of another call. Its
+// server gets the grant once more, on an older connection or under a new fence.
+void coordinator::doubt_connection(instant now, connection_number connection)
+{
+    if (connection.value == 0) {
+        return;
+    }
+    for (auto& [id, state] : range_states_) {
+        if (state.connection == connection) {
+            state.granted_until = {};
+            state.next_call = std::min(state.next_call, now);
+            state.proven = false;
+        }
+    }
+}
+
 void coordinator::on_grant(instant now, const assigned_range& range, const pending_call& call,
                            call_outcome outcome, connection_number connection)
 {
@@ -177,7 +198,7 @@
         // The connection to the process that had the grant is closed. The process now at the
         // address may be a restarted one, whose entry appears in the store later.
         state.needs_new_fence = true;
-    } else if (outcome == call_outcome::unknown) {
+    } else if (outcome == call_outcome::unknown || outcome == call_outcome::doubtful) {
         state.maybe_granted = true;
         state.needs_new_fence = true;
     } else if (outcome == call_outcome::fenced) {
@@ -191,10 +212,16 @@
 void coordinator::on_release(instant now, const assigned_range& range, call_outcome outcome,
                              std::string handoff)
 {
+    auto& state = state_of(range);
     if (!confirms_release(range, outcome)) {
+        // A full server may turn away new connections: after that any is tried.
+        state.release_doubtful = outcome == call_outcome::doubtful;
+        if (state.release_doubtful) {
+            state.next_call = now;
+            advance_range(now, range);
+        }
         return;
     }
-    auto& state = state_of(range);
     state.released = true;
     state.handoff = std::move(handoff);
     state.next_call = now;
--- a/src/libs/http/call_pool.cpp
+++ b/src/libs/http/call_pool.cpp
@@ -65,7 +65,8 @@
 
 bool call_pool::may_carry(const pooled_connection& it, const http_request& request)
 {
-    return !it.closed && (request.newest_connection == 0 || it.number <= request.newest_connection);
+    return !it.closed && !request.own_connection &&
+           (request.newest_connection == 0 || it.number <= request.newest_connection);
 }
 
 void call_pool::start_pending(const std::string& address)
@@ -84,7 +85,8 @@
         }
         const bool busy = std::any_of(state.connections.begin(), state.connections.end(), fits);
         const bool any = call.request.newest_connection == 0;
-        if (any && state.connections.size() < options_.max_connections) {
+        const auto limit = options_.max_connections + (call.request.own_connection ? 1 : 0);
+        if (any && state.connections.size() < limit) {
             state.connections.push_back(
                 std::make_unique<pooled_connection>(loop_, address, nullptr));
             state.connections.back()->number = ++last_connection_number_;
@@ -103,7 +105,7 @@
 void call_pool::start(pooled_connection& it, pending_call call)
 {
     it.done = std::move(call.done);
-    it.answer = {.connection = it.number};
+    it.answer = {.connection = it.number, .first_on_connection = !it.connection};
     const auto left = std::max<duration>(call.deadline - monotonic_now(), millis{1});
     if (!it.connection) {
         it.connection = std::make_unique<client_connection>(
@@ -149,16 +151,41 @@
     it.timeout.cancel();
     auto done = std::move(it.done);
     it.done = nullptr;
-    auto& state = addresses_[it.address];
     if (!keep) {
-        it.closed = true;
-        const auto found = std::find_if(state.connections.begin(), state.connections.end(),
-                                        [&](const auto& c) { return c.get() == &it; });
-        closed_.push_back(std::move(*found));
-        state.connections.erase(found);
+        remove(it);
     }
     start_timer_.soon();
     done(answer);
+    if (!keep && on_closed_) {
+        on_closed_(it.number);
+    }
+}
+
+void call_pool::remove(const pooled_connection& it)
+{
+    auto& state = addresses_[it.address];
+    const auto found = std::find_if(state.connections.begin(), state.connections.end(),
+                                    [&](const auto& c) { return c.get() == &it; });
+    (*found)->closed = true;
+    closed_.push_back(std::move(*found));
+    state.connections.erase(found);
+}
+
+void call_pool::close(const std::string& address, std::uint64_t connection)
+{
+    auto& state = addresses_[address];
+    const auto found =
+        std::find_if(state.connections.begin(), state.connections.end(),
+                     [&](const auto& it) { return it->number == connection && !it->done; });
+    if (found == state.connections.end()) {
+        return;
+    }
+    (*found)->connection->abort();
+    remove(**found);
+    start_timer_.soon();
+    if (on_closed_) {
+        on_closed_(connection);
+    }
 }
 
 // Removes idle connections that were closed, or that the server may be about to close, and fails
@@ -169,8 +196,12 @@
     for (auto& [address, state] : addresses_) {
         std::erase_if(state.connections, [&](const auto& it) {
             const bool idle = !it->done;
-            return idle &&
-                   (it->closed || now - it->connection->last_response_at() > options_.max_idle);
+            const bool expired = idle && (it->closed || now - it->connection->last_response_at() >
+                                                            options_.max_idle);
+            if (expired && on_closed_) {
+                on_closed_(it->number);
+            }
+            return expired;
         });
         while (!state.pending.empty() && now > state.pending.front().deadline) {
             auto call = std::move(state.pending.front());
--- a/src/plugins/entry/coordination_task_effects.cpp
+++ b/src/plugins/entry/coordination_task_effects.cpp
@@ -118,7 +118,7 @@
                                          {"outcome", static_cast<int>(result.outcome)}});
         }
         tell_notice(it.holder, result);
-        core_.on_call(now, it.number, result.outcome, result.handoff, {});
+        core_.on_call(now, it.number, result.outcome, result.handoff, result.connection);
         execute_effects();
     });
 }
