Randomised search: servers that write answers once more, with work after a release

Connections carry one call at a time and answers are taken in order; a server answers a release when the work on the keys has ended, and writes an earlier answer once more before some. Only with the option repeated_answers: the schedules of other seeds stay as they were.

--- a/tests/auto/assignment/coordinator_search.cpp
+++ b/tests/auto/assignment/coordinator_search.cpp
@@ -1,11 +1,13 @@
 #include "coordinator_search.hpp"
 
+#include "quincewing/assignment/answer_order.hpp"
 #include "quincewing/assignment/coordinator.hpp"
 #include "quincewing/deployment/store_era_gate.hpp"
 
 #include <algorithm>
 #include <boost/random/mersenne_twister.hpp>
 #include <boost/random/uniform_01.hpp>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -28,6 +30,10 @@
 constexpr millis entry_expiry{2600};
 /// For each step, while no drill is under way.
 constexpr double drill_rate = 0.0008;
+/// For each call, where answers are written once more.
+constexpr double usual_repeat_rate = 0.02;
+constexpr double high_repeat_rate = 0.4;
+constexpr seconds longest_work{3};
 constexpr key_number sample_keys[] = {0, 5000, 16383, 16384, 20000, 33000, 40000, 52000, 65535};
 
 /// A backend server with its grants and the highest fence that it has seen, for each sampled key.
@@ -44,11 +50,32 @@
     instant entry_updated;
     std::map<key_number, std::uint64_t> highest_fences;
     std::map<key_number, grant> grants;
+    /// Until when work runs on keys that were released.
+    std::map<key_number, instant> work;
 
     void clear_memory()
     {
         highest_fences.clear();
         grants.clear();
+        work.clear();
+    }
+    // Work does not outlast its lease.
+    void keep_working(const release_keys& it, instant work_end)
+    {
+        for (const auto key : sample_keys) {
+            const auto held = grants.find(key);
+            if (it.keys.contains(key) && held != grants.end()) {
+                work[key] = std::max(work[key], std::min(work_end, held->second.until));
+            }
+        }
+    }
+    instant work_end(key_range keys) const
+    {
+        instant out{};
+        for (const auto& [key, end] : work) {
+            out = keys.contains(key) ? std::max(out, end) : out;
+        }
+        return out;
     }
     // The validity counts from the arrival of the call, on a clock that runs 2% slow.
     call_outcome on_grant(instant arrived, const grant_keys& it)
@@ -82,7 +109,9 @@
     bool holds(instant now, key_number key) const
     {
         const auto found = grants.find(key);
-        return up && found != grants.end() && now < found->second.until;
+        const auto working = work.find(key);
+        return up && ((found != grants.end() && now < found->second.until) ||
+                      (working != work.end() && now < working->second));
     }
 };
 
@@ -95,6 +124,29 @@
     backend_servers entries;
 };
 
+/// A connection of a host to a server that carries one call at a time.
+struct simulated_connection
+{
+    struct call
+    {
+        call_number number;
+        std::uint64_t newest_connection{};
+        bool own_connection{};
+        bool is_release{};
+        instant deadline;
+        /// Arrives at the server, which writes the answer of the call on the connection.
+        std::function<void(std::uint64_t connection)> arrive;
+    };
+    std::size_t server{};
+    std::size_t calls{};
+    /// The server neither reads nor writes any more.
+    bool stuck{};
+    std::optional<call> under_way;
+    std::deque<call> waiting;
+    /// What the server wrote, without an outcome and a connection of its own.
+    std::vector<key_answer> written;
+};
+
 struct simulated_host
 {
     std::unique_ptr<coordinator> core;
@@ -110,6 +162,9 @@
     std::vector<bool> cut_from_server = std::vector<bool>(server_count);
     /// Number of the open connection to each server; 0 if there is none.
     std::vector<std::uint64_t> open_connections = std::vector<std::uint64_t>(server_count);
+    /// By number, where servers write answers once more.
+    std::map<std::uint64_t, simulated_connection> connections;
+    answer_order order;
     backend_servers servers;
 };
 
@@ -201,6 +256,8 @@
             store_era_hooks{.on_change = [this, i](store_era, store_era to) {
                 hosts_[i].core->on_store_era(now_, to);
             }});
+        host.connections.clear();
+        host.order = {};
         host.store = host.eras->wrap(make_store(i, host.incarnation));
         host.up = true;
     }
@@ -431,6 +488,10 @@
         const auto incarnation = hosts_[i].incarnation;
         auto* server = server_at(it.holder);
         const auto index = static_cast<std::size_t>(server - servers_.data());
+        if (options_.repeated_answers) {
+            assign(i, index, to_call(i, index, it));
+            return;
+        }
         auto& open = hosts_[i].open_connections[index];
         if (connection_limit(it) != 0 && (open == 0 || open > connection_limit(it))) {
             schedule_call_answer(i, incarnation, it.number, millis{0}, call_outcome::not_sent, 0);
@@ -502,6 +563,171 @@
         return call_outcome::accepted;
     }
 
+    // ---- connections on which answers are written once more
+
+    static bool own_connection(const grant_keys&) { return false; }
+    static bool own_connection(const release_keys& it) { return it.own_connection; }
+    template <class Call>
+    simulated_connection::call to_call(std::size_t i, std::size_t index, const Call& it)
+    {
+        return {.number = it.number,
+                .newest_connection = connection_limit(it),
+                .own_connection = own_connection(it),
+                .is_release = std::is_same_v<Call, release_keys>,
+                .deadline = now_ + it.timeout,
+                .arrive = [this, i, index, it](std::uint64_t to) { arrive(i, index, to, it); }};
+    }
+    /// Finds a connection for a call, or opens one.
+    void assign(std::size_t i, std::size_t server, simulated_connection::call call)
+    {
+        auto& all = hosts_[i].connections;
+        const auto fits = [&](const auto& entry) {
+            return !call.own_connection && entry.second.server == server &&
+                   (call.newest_connection == 0 || entry.first <= call.newest_connection);
+        };
+        const auto found = std::find_if(all.begin(), all.end(), fits);
+        if (found != all.end()) {
+            found->second.waiting.push_back(std::move(call));
+            start_next(i, found->first);
+        } else if (call.newest_connection != 0 || hosts_[i].cut_from_server[server] ||
+                   !servers_[server].up) {
+            schedule_call_answer(i, hosts_[i].incarnation, call.number, millis{0},
+                                 call_outcome::not_sent, 0);
+        } else {
+            auto& opened = all[++last_connection_];
+            opened.server = server;
+            opened.waiting.push_back(std::move(call));
+            start_next(i, last_connection_);
+        }
+    }
+    void start_next(std::size_t i, std::uint64_t number)
+    {
+        auto& it = hosts_[i].connections.at(number);
+        if (it.under_way || it.waiting.empty()) {
+            return;
+        }
+        it.under_way = std::move(it.waiting.front());
+        it.waiting.pop_front();
+        ++it.calls;
+        const auto call = it.under_way->number;
+        if (it.under_way->deadline <= now_) {
+            --it.calls;
+            it.under_way.reset();
+            report(i, call, {.outcome = call_outcome::not_sent});
+            start_next(i, number);
+            return;
+        }
+        schedule(random_duration(millis{1}, millis{20}),
+                 [arrive = it.under_way->arrive, number] { arrive(number); });
+        schedule(it.under_way->deadline - now_, [this, i, number, call] {
+            const auto found = hosts_[i].connections.find(number);
+            if (found != hosts_[i].connections.end() && found->second.under_way &&
+                found->second.under_way->number == call) {
+                close_connection(i, number);
+                report(i, call, {});
+            }
+        });
+    }
+    void report(std::size_t i, call_number call, const key_answer& it)
+    {
+        answer(i, hosts_[i].incarnation, [call, it](coordinator& core, instant now) {
+            core.on_call(now, call, it.outcome, it.handoff, it.connection);
+        });
+    }
+    /// Calls that wait on the connection look for another one.
+    void close_connection(std::size_t i, std::uint64_t number)
+    {
+        auto& all = hosts_[i].connections;
+        const auto closed = std::move(all.at(number));
+        all.erase(number);
+        hosts_[i].order.forget(connection_number{number});
+        for (const auto& it : closed.waiting) {
+            assign(i, closed.server, it);
+        }
+    }
+    template <class Call>
+    void arrive(std::size_t i, std::size_t index, std::uint64_t to, const Call& it)
+    {
+        const auto found = hosts_[i].connections.find(to);
+        auto& server = servers_[index];
+        if (found == hosts_[i].connections.end() || found->second.stuck) {
+            return;
+        }
+        auto& connection = found->second;
+        if (hosts_[i].cut_from_server[index] || !server.up || server.self != it.holder) {
+            connection.stuck = true;
+            return;
+        }
+        if (!connection.written.empty() && uniform() < repeat_rate()) {
+            const auto n = static_cast<double>(connection.written.size());
+            const bool last = uniform() < 0.7;
+            const auto at =
+                last ? connection.written.size() - 1 : static_cast<std::size_t>(uniform() * n);
+            write(i, to, connection.written[at], millis{1});
+        }
+        const auto arrived = now_;
+        if (uniform() < late_call_rate_) {
+            connection.stuck = true;
+            schedule(random_duration(seconds{2}, seconds{12}),
+                     [this, index, it, arrived, start = server.self.start] {
+                         if (servers_[index].up && servers_[index].self.start == start) {
+                             apply(servers_[index], arrived, it);
+                         }
+                     });
+            return;
+        }
+        const auto answer = run(server, it);
+        connection.written.push_back(answer);
+        const auto ended = std::max(server.work_end(it.keys) - now_, duration{0});
+        write(i, to, answer, millis{5} + (answer.handoff.empty() ? duration{0} : ended));
+    }
+    [[nodiscard]] double repeat_rate() const
+    {
+        return many_repeats_ ? high_repeat_rate : usual_repeat_rate;
+    }
+    key_answer run(simulated_server& server, const grant_keys& it)
+    {
+        return {.outcome = apply(server, now_, it)};
+    }
+    key_answer run(simulated_server& server, const release_keys& it)
+    {
+        server.keep_working(it, now_ + random_duration(millis{0}, longest_work));
+        return {.outcome = apply(server, now_, it), .handoff = "t" + std::to_string(++last_token_)};
+    }
+    void write(std::size_t i, std::uint64_t to, const key_answer& it, duration after)
+    {
+        schedule(after, [this, i, to, it] { on_answer(i, to, it); });
+    }
+    void on_answer(std::size_t i, std::uint64_t number, key_answer it)
+    {
+        const auto found = hosts_[i].connections.find(number);
+        if (found == hosts_[i].connections.end()) {
+            return;
+        }
+        auto& connection = found->second;
+        const bool lost =
+            hosts_[i].cut_from_server[connection.server] || !servers_[connection.server].up;
+        if (lost || connection.stuck) {
+            connection.stuck = true;
+            return;
+        }
+        if (!connection.under_way) {
+            close_connection(i, number);
+            return;
+        }
+        const auto call = *std::exchange(connection.under_way, std::nullopt);
+        it.connection = connection_number{number};
+        it.first_on_connection = connection.calls == 1;
+        it.outcome =
+            call.is_release ? hosts_[i].order.judge_release(it) : hosts_[i].order.judge_grant(it);
+        if (it.outcome == call_outcome::doubtful) {
+            close_connection(i, number);
+        } else {
+            start_next(i, number);
+        }
+        report(i, call.number, it);
+    }
+
     void update_server_entries()
     {
         for (auto& server : servers_) {
@@ -551,7 +777,7 @@
         }
         const auto i = static_cast<std::size_t>(uniform() * host_count);
         const auto s = static_cast<std::size_t>(uniform() * server_count);
-        switch (static_cast<int>(uniform() * 11)) {
+        switch (static_cast<int>(uniform() * (options_.repeated_answers ? 12 : 11))) {
         case 0:
             store_down_ = true;
             schedule_fault_end(seconds{1}, seconds{10}, [this] { store_down_ = false; });
@@ -591,6 +817,10 @@
         case 9:
             restart_server(s);
             break;
+        case 11:
+            many_repeats_ = true;
+            schedule_fault_end(seconds{2}, seconds{8}, [this] { many_repeats_ = false; });
+            break;
         default:
             answer_loss_rate_ = 0.4;
             late_call_rate_ = 0.3;
@@ -624,6 +854,9 @@
         server.clear_memory();
         for (auto& host : hosts_) {
             host.open_connections[s] = 0;
+            for (auto& [number, connection] : host.connections) {
+                connection.stuck = connection.stuck || connection.server == s;
+            }
         }
         schedule_fault_end(millis{100}, seconds{5}, [this, s] {
             servers_[s].up = true;
@@ -681,6 +914,8 @@
     instant entries_written_again_{};
     double answer_loss_rate_{};
     double late_call_rate_{};
+    bool many_repeats_{};
+    std::uint64_t last_token_{};
 };
 
 } // namespace
--- a/tests/auto/assignment/coordinator_search_test.cpp
+++ b/tests/auto/assignment/coordinator_search_test.cpp
@@ -71,6 +71,33 @@
     CHECK(first_violation(mutation_schedules, search) > 0);
 }
 
+// failure: an answer that a server wrote once more confirmed a release, and two servers worked on
+// the same keys.
+TEST_CASE("coordinators with repeated answers: at most one holder of each key")
+{
+    const auto schedules = schedules_or(default_schedules);
+    MESSAGE("seed " << options().seed << ", schedules " << schedules);
+    SUBCASE("without other faults")
+    {
+        CHECK(first_violation(schedules, {.faults = false, .repeated_answers = true}) == 0);
+    }
+    SUBCASE("beside all faults")
+    {
+        CHECK(first_violation(schedules, {.repeated_answers = true}) == 0);
+    }
+    SUBCASE("beside drills and all faults")
+    {
+        CHECK(first_violation(schedules, {.drills = true, .repeated_answers = true}) == 0);
+    }
+}
+
+TEST_CASE("coordinators with repeated answers mutation: only its own answer confirms a release")
+{
+    const search_options search{.repeated_answers = true,
+                                .mutate = [](auto& it) { it.release_by_own_answer = false; }};
+    CHECK(first_violation(mutation_schedules, search) > 0);
+}
+
 TEST_CASE("coordinators: seeds that failed before")
 {
     // Faults behind the seeds: a restart was taken as proof of release; a restarted server was
