Coordinator: a renewal proves its owner only once the next answer has come

Seen in a test only: after a store came back older, a renewal that was answered by a repeated 200 of an earlier one counted as proof that no coordinator of an earlier era had moved the keys; the true answer, 409, came next, and by then the keys were being moved.

Cause: proves_owner rested on the one answer, which bears no number.

Why it works: when one answer was written once more, the renewal's own is the next on the connection. The proof waits for it, and counts only for a grant that was sent late enough in the present era. Two shifts on one connection at the same time would still deceive it.

--- a/include/quincewing/assignment/coordinator.hpp
+++ b/include/quincewing/assignment/coordinator.hpp
@@ -162,6 +162,10 @@
         bool proven{};
         /// Connection of the last confirmed grant under the current fence.
         connection_number connection;
+        /// The next answer on this connection decides whether the range is proven; 0: none.
+        connection_number proof_connection;
+        /// When the grant was sent whose answer waits for that one.
+        instant proof_sent{};
         /// The last release got an answer that may be another call's.
         bool release_doubtful{};
         /// Handoff token of the previous owner's release; may be empty.
@@ -230,6 +234,8 @@
                   call_outcome outcome, connection_number connection);
     /// The answers on the connection may be those of earlier calls.
     void doubt_connection(instant now, connection_number connection);
+    /// Decides the proofs that waited for an answer on the connection.
+    void finish_proofs(connection_number connection, call_outcome next);
     void on_release(instant now, const assigned_range& range, call_outcome outcome,
                     std::string handoff);
     void release_previous_owner(instant now, const assigned_range& range, range_state& state);
--- a/src/libs/assignment/coordinator_ranges.cpp
+++ b/src/libs/assignment/coordinator_ranges.cpp
@@ -140,6 +140,7 @@
     if (outcome == call_outcome::doubtful) {
         doubt_connection(now, connection);
     }
+    finish_proofs(connection, outcome);
     const auto call = calls_.find(number);
     if (call == calls_.end()) {
         return;
@@ -180,6 +181,23 @@
     }
 }
 
+// When the server wrote the answer of an earlier call once more, that of a renewal is the next one
+// on the connection.
+void coordinator::finish_proofs(connection_number connection, call_outcome next)
+{
+    if (connection.value == 0 || !restricted()) {
+        return;
+    }
+    for (auto& [id, state] : range_states_) {
+        if (state.proof_connection == connection) {
+            const bool proven =
+                next == call_outcome::accepted && proves_owner({.sent = state.proof_sent});
+            state.proven = state.proven || proven;
+            state.proof_connection = {};
+        }
+    }
+}
+
 void coordinator::on_grant(instant now, const assigned_range& range, const pending_call& call,
                            call_outcome outcome, connection_number connection)
 {
@@ -189,7 +207,8 @@
         state.granted_until = call.granted_until;
         state.maybe_granted = true;
         state.connection = connection;
-        state.proven = state.proven || proves_owner(call);
+        state.proof_connection = proves_owner(call) ? connection : connection_number{};
+        state.proof_sent = call.sent;
         state.next_call = now + options_.renew_interval;
         if (!held_before && hooks_.on_held) {
             hooks_.on_held(range);
