--- a/src/libs/assignment/coordinator_ranges.cpp
+++ b/src/libs/assignment/coordinator_ranges.cpp
@@ -15,7 +15,8 @@
 // A restart of the holder confirms nothing: a grant may have reached the new process since.
 bool coordinator::confirms_release(const assigned_range& range, call_outcome outcome) const
 {
-    if (outcome == call_outcome::accepted) {
+    const bool doubtful = outcome == call_outcome::doubtful && !options_.release_by_own_answer;
+    if (outcome == call_outcome::accepted || doubtful) {
         return true;
     }
     const bool other_service =
@@ -101,7 +102,8 @@
                      .holder = range.previous_owner,
                      .keys = range.keys,
                      .fence = options_.release_with_new_fence ? range.fence : range.fence - 1,
-                     .timeout = options_.release_timeout});
+                     .timeout = options_.release_timeout,
+                     .own_connection = state.release_doubtful});
 }
 
 void coordinator::grant_range(instant now, const assigned_range& range, range_state& state)
@@ -135,6 +137,10 @@
 void coordinator::on_call(instant now, call_number number, call_outcome outcome,
                           std::string handoff, connection_number connection)
 {
+    if (outcome == call_outcome::doubtful) {
+        doubt_connection(now, connection);
+    }
+    finish_proofs(connection, outcome);
     const auto call = calls_.find(number);
     if (call == calls_.end()) {
         return;
@@ -159,6 +165,39 @@
     }
 }
 
+// Each range granted on the connection may have been confirmed by the answer of another call. Its
+// server gets the grant once more, on an older connection or under a new fence.
+void coordinator::doubt_connection(instant now, connection_number connection)
+{
+    if (connection.value == 0) {
+        return;
+    }
+    for (auto& [id, state] : range_states_) {
+        if (state.connection == connection) {
+            state.granted_until = {};
+            state.next_call = std::min(state.next_call, now);
+            state.proven = false;
+        }
+    }
+}
+
+// When the server wrote the answer of an earlier call once more, that of a renewal is the next one
+// on the connection.
+void coordinator::finish_proofs(connection_number connection, call_outcome next)
+{
+    if (connection.value == 0 || !restricted()) {
+        return;
+    }
+    for (auto& [id, state] : range_states_) {
+        if (state.proof_connection == connection) {
+            const bool proven =
+                next == call_outcome::accepted && proves_owner({.sent = state.proof_sent});
+            state.proven = state.proven || proven;
+            state.proof_connection = {};
+        }
+    }
+}
+
 void coordinator::on_grant(instant now, const assigned_range& range, const pending_call& call,
                            call_outcome outcome, connection_number connection)
 {
@@ -168,7 +207,8 @@
         state.granted_until = call.granted_until;
         state.maybe_granted = true;
         state.connection = connection;
-        state.proven = state.proven || proves_owner(call);
+        state.proof_connection = proves_owner(call) ? connection : connection_number{};
+        state.proof_sent = call.sent;
         state.next_call = now + options_.renew_interval;
         if (!held_before && hooks_.on_held) {
             hooks_.on_held(range);
@@ -177,7 +217,7 @@
         // The connection to the process that had the grant is closed. The process now at the
         // address may be a restarted one, whose entry appears in the store later.
         state.needs_new_fence = true;
-    } else if (outcome == call_outcome::unknown) {
+    } else if (outcome == call_outcome::unknown || outcome == call_outcome::doubtful) {
         state.maybe_granted = true;
         state.needs_new_fence = true;
     } else if (outcome == call_outcome::fenced) {
@@ -191,10 +231,16 @@
 void coordinator::on_release(instant now, const assigned_range& range, call_outcome outcome,
                              std::string handoff)
 {
+    auto& state = state_of(range);
     if (!confirms_release(range, outcome)) {
+        // A full server may turn away new connections: after that any is tried.
+        state.release_doubtful = outcome == call_outcome::doubtful;
+        if (state.release_doubtful) {
+            state.next_call = now;
+            advance_range(now, range);
+        }
         return;
     }
-    auto& state = state_of(range);
     state.released = true;
     state.handoff = std::move(handoff);
     state.next_call = now;
