Servers: a list that was taken over keeps the name that it came with

Seen: since lists are named by their contents, a host that takes over the list of one that has not read the store yet (name 0) named it itself at the next tick, and would have asked for that list again every 150 ms.

Change: only a change of the host's own makes it name its list. Taking over a list no longer remembers each server as removed for a moment.

--- a/src/libs/deployment/server_directory.cpp
+++ b/src/libs/deployment/server_directory.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace quincewing {
 
@@ -84,13 +85,15 @@
     if (!as_new(read)) {
         return false;
     }
-    for (const auto& [id, server] : servers_) {
-        removed_[id] = now;
-    }
-    servers_.clear();
+    const auto before = std::exchange(servers_, {});
     for (const auto& server : servers) {
         keep_draining(servers_.emplace(server.id, server).first->second);
-        removed_.erase(server.id);
+    }
+    std::erase_if(removed_, [&](const auto& it) { return servers_.contains(it.first); });
+    for (const auto& [id, server] : before) {
+        if (!servers_.contains(id)) {
+            removed_[id] = now;
+        }
     }
     pending_removals_.clear();
     note_read(read);
@@ -251,7 +254,8 @@
 // By its contents: offsets go back with the store, and are given out again.
 void server_directory::name_list()
 {
-    if (!known_ || (!changed_ && changed_offset_ != log_offset{})) {
+    const bool named = relayed_ || changed_offset_ != log_offset{};
+    if (!known_ || (named && !changed_)) {
         return;
     }
     changed_ = false;
