--- a/tests/auto/assignment/coordinator_search.cpp
+++ b/tests/auto/assignment/coordinator_search.cpp
@@ -364,17 +364,18 @@
     /// The store as one process of a host reaches it.
     store_api make_store(std::size_t i, std::uint64_t incarnation)
     {
-        return {.newest =
-                    [this, i, incarnation](store_stream, std::function<void(store_page)> done) {
-                        read_store(i, incarnation, done);
-                    },
-                .read = {},
-                .append =
-                    [this, i, incarnation](store_stream, const store_record& record,
-                                           std::optional<log_offset> at,
-                                           std::function<void(store_append_result)> done) {
-                        append_to_store(i, incarnation, record.value.value(), at.value(), done);
-                    }};
+        return {
+            .newest =
+                [this, i, incarnation](store_stream, const std::function<void(store_page)>& done) {
+                    read_store(i, incarnation, done);
+                },
+            .read = {},
+            .append =
+                [this, i, incarnation](store_stream, const store_record& record,
+                                       std::optional<log_offset> at,
+                                       const std::function<void(store_append_result)>& done) {
+                    append_to_store(i, incarnation, record.value.value(), at.value(), done);
+                }};
     }
     template <class Result>
     void answer_store_call(std::size_t i, std::uint64_t incarnation, duration after,
--- a/tests/auto/assignment/owner_proof_test.cpp
+++ b/tests/auto/assignment/owner_proof_test.cpp
@@ -57,8 +57,8 @@
         const bool first = it.holder.id.value == "s1";
         // From then on no coordinator of the earlier era has a call under way.
         const coordinator_options times;
-        const bool may_prove = first && restored_at &&
-                               now - *restored_at >= times.read_validity + times.grant_timeout;
+        const bool may_prove =
+            first && restored_at && now - *restored_at >= times.read_validity + times.grant_timeout;
         late_grants += may_prove ? 1 : 0;
         const bool accepted = late_grants < 2 || !second_is_fenced;
         core.on_call(now, it.number,
