A host that starts right after the store came back older leaves the term to the living coordinator

What callers saw: in the process test, case 'a host starts right after', the new host took the term 2 ms after its start and 48 ms before the coordinator of the earlier era read the store; keys of living owners then waited out all earlier grants (last failure 13.6 s after the return).

Change: whoever finds the table lost waits as after a message of a coordinator. Offsets that another host tells count only within its era, also in news and in the last broadcast.

--- a/src/libs/assignment/coordinator_eras.cpp
+++ b/src/libs/assignment/coordinator_eras.cpp
@@ -38,8 +38,6 @@
     era_rose_ = true;
     end_ = {};
     table_known_ = false;
-    // The coordinator of the earlier era knows its grants and tries first to go on.
-    last_heartbeat_ = std::max(last_heartbeat_, now);
     note_table_lost(now);
     if (coordinating_) {
         request_read(now);
@@ -50,6 +48,8 @@
 {
     table_lost_ = true;
     table_lost_at_ = now;
+    // The coordinator of the earlier era knows its grants and tries first to go on.
+    last_heartbeat_ = std::max(last_heartbeat_, now);
     term_vacant_ = false;
     pending_append_.reset();
     append_outcome_unknown_ = false;
--- a/src/plugins/entry/coordination_task.cpp
+++ b/src/plugins/entry/coordination_task.cpp
@@ -180,7 +180,12 @@
 
 void coordination_task::on_store_era(instant now, store_era era)
 {
+    const bool rose = core_.era() != store_era{};
     core_.on_store_era(now, era);
+    if (rose) {
+        last_broadcast_.servers_read = 0;
+        last_broadcast_.configuration_offset = 0;
+    }
     execute_effects();
 }
 
--- a/src/plugins/entry/coordination_task.hpp
+++ b/src/plugins/entry/coordination_task.hpp
@@ -91,6 +91,7 @@
     void apply_servers_update(const coordinator_news& it);
     /// Tells all hosts once this host's name is out of the table.
     void tell_if_given_up(bool coordinated);
+    [[nodiscard]] log_offset told_offset(store_era era, std::uint64_t offset) const;
     void note_told_configuration(instant now, const coordinator_beat& it);
     void send_load_report();
     void log_balance(instant now);
--- a/src/plugins/entry/coordination_task_news.cpp
+++ b/src/plugins/entry/coordination_task_news.cpp
@@ -221,16 +221,22 @@
     apply_servers_update(it);
     if (it.configuration_changes) {
         configuration_.on_changes(*it.configuration_changes,
-                                  log_offset{it.versions.configuration_offset});
+                                  told_offset(it.versions.era, it.versions.configuration_offset));
     }
     note_told_configuration(now, it.versions);
 }
 
+// An offset of another era says nothing.
+log_offset coordination_task::told_offset(store_era era, std::uint64_t offset) const
+{
+    return era == core_.era() ? log_offset{offset} : log_offset{};
+}
+
 void coordination_task::note_told_configuration(instant now, const coordinator_beat& it)
 {
     if (it.configuration != 0 && it.configuration_age != unknown_age) {
         configuration_.on_told(config_version{it.configuration},
-                               log_offset{it.configuration_offset},
+                               told_offset(it.era, it.configuration_offset),
                                now - duration{it.configuration_age});
     }
 }
@@ -267,7 +273,7 @@
 
 void coordination_task::on_message(const host_id&, const configuration_reply& it)
 {
-    const auto offset = it.era == core_.era() ? log_offset{it.offset} : log_offset{};
+    const auto offset = told_offset(it.era, it.offset);
     if (it.whole) {
         configuration_.on_changes(*it.whole, offset);
     }
