--- a/include/quincewing/assignment/coordinator_effects.hpp
+++ b/include/quincewing/assignment/coordinator_effects.hpp
@@ -77,6 +77,8 @@
     doubtful
 };
 
+const char* to_string(call_outcome it);
+
 enum class append_outcome
 {
     appended,
--- a/src/libs/assignment/coordinator.cpp
+++ b/src/libs/assignment/coordinator.cpp
@@ -23,6 +23,25 @@
     return "";
 }
 
+const char* to_string(call_outcome it)
+{
+    switch (it) {
+    case call_outcome::accepted:
+        return "accepted";
+    case call_outcome::fenced:
+        return "fenced";
+    case call_outcome::rejected:
+        return "rejected";
+    case call_outcome::not_sent:
+        return "not_sent";
+    case call_outcome::unknown:
+        return "unknown";
+    case call_outcome::doubtful:
+        return "doubtful";
+    }
+    return "";
+}
+
 bool coordinator::acting(instant now) const
 {
     const bool current = !options_.require_recent_read || now - last_read_ < options_.read_validity;
--- a/src/plugins/entry/coordination_task.hpp
+++ b/src/plugins/entry/coordination_task.hpp
@@ -6,6 +6,7 @@
 #include "quincewing/assignment/coordinator.hpp"
 #include "quincewing/assignment/takeover_order.hpp"
 #include "quincewing/entry/host_context.hpp"
+#include "quincewing/logging/event_counts.hpp"
 #include "quincewing/peers/peers_task.hpp"
 
 #include <functional>
@@ -128,6 +129,8 @@
     instant next_heartbeat_{};
     instant next_load_report_{};
     instant next_balance_log_{};
+    /// Grants and releases by their outcomes.
+    event_counts key_calls_{"key_calls"};
     /// Versions received last from the coordinator, the host that sent them, and when.
     coordinator_beat coordinator_versions_;
     host_id coordinator_host_;
--- a/src/plugins/entry/coordination_task_effects.cpp
+++ b/src/plugins/entry/coordination_task_effects.cpp
@@ -92,11 +92,12 @@
 {
     context_.platform.keys.grant(it, [this, it](const key_call_result& result) {
         const auto now = monotonic_now();
+        key_calls_.add(to_string(result.outcome));
         if (result.outcome != call_outcome::accepted) {
             log_event("grant_failed", {{"server", it.holder.id.value},
                                        {"keys", to_string(it.keys)},
                                        {"fence", it.fence},
-                                       {"outcome", static_cast<int>(result.outcome)}});
+                                       {"outcome", to_string(result.outcome)}});
         }
         tell_notice(it.holder, result);
         core_.on_call(now, it.number, result.outcome, "", result.connection);
@@ -111,11 +112,12 @@
 {
     context_.platform.keys.release(it, [this, it](const key_call_result& result) {
         const auto now = monotonic_now();
+        key_calls_.add(to_string(result.outcome));
         if (result.outcome != call_outcome::accepted) {
             log_event("release_failed", {{"server", it.holder.id.value},
                                          {"keys", to_string(it.keys)},
                                          {"fence", it.fence},
-                                         {"outcome", static_cast<int>(result.outcome)}});
+                                         {"outcome", to_string(result.outcome)}});
         }
         tell_notice(it.holder, result);
         core_.on_call(now, it.number, result.outcome, result.handoff, result.connection);
@@ -183,6 +185,7 @@
         return;
     }
     next_balance_log_ = now + balance_log_period;
+    key_calls_.log();
     for (const auto& service : context_.view.keyed_services()) {
         const auto utilizations = core_.server_utilizations(service);
         if (utilizations.empty()) {
--- a/src/plugins/entry/entry_host.cpp
+++ b/src/plugins/entry/entry_host.cpp
@@ -270,6 +270,7 @@
     if (now >= next_log_tick) {
         next_log_tick = now + log_period;
         log_store_calls();
+        services.relays.log();
         standard_log().tick(now);
     }
     if (stopping) {
--- a/src/plugins/entry/flow_services.hpp
+++ b/src/plugins/entry/flow_services.hpp
@@ -7,6 +7,7 @@
 #include "quincewing/base/ids.hpp"
 #include "quincewing/deployment/server_notice.hpp"
 #include "quincewing/dispatch/shared_retry_budget.hpp"
+#include "quincewing/logging/event_counts.hpp"
 #include "quincewing/routing/backend_server.hpp"
 
 #include <functional>
@@ -44,6 +45,8 @@
     /// Records the response time of a server.
     std::function<void(const server_id&, duration)> record_service_time;
     request_ends ends;
+    /// Sends by way of other hosts, by what became of them.
+    event_counts relays{"relays"};
 };
 
 } // namespace quincewing
--- a/src/plugins/entry/reach_task.cpp
+++ b/src/plugins/entry/reach_task.cpp
@@ -89,6 +89,13 @@
         log_event("server_reached", {{"server", server.id.value}});
     }
     servers_.on_connected(server.id);
+    last_connected_ = monotonic_now();
+}
+
+void reach_task::on_answer()
+{
+    servers_.on_answer();
+    last_answer_ = monotonic_now();
 }
 
 // Idle connections to a server that can't be reached are likely to be as dead, unless an answer
@@ -146,6 +153,7 @@
         cut_hosts_.erase(from);
     }
     list_relay_hosts();
+    log_event("host_reach", {{"host", from.value}, {"cut_off", it.cut_off ? "yes" : "no"}});
 }
 
 void reach_task::tell(const host_id& to, bool cut_off)
@@ -157,6 +165,10 @@
 {
     probe(now);
     note_cut(now);
+    if (coordinates && !coordinates_) {
+        log_coordinator_reach(now);
+    }
+    coordinates_ = coordinates;
     const bool reaches_all = unreachable_owners().empty();
     if (reaches_all) {
         owners_unreachable_since_.reset();
@@ -168,6 +180,15 @@
     }
 }
 
+void reach_task::log_coordinator_reach(instant now) const
+{
+    log_event("coordinator_reach", {{"cut_off", servers_.cut_off() ? "yes" : "no"},
+                                    {"unreachable", servers_.unreachable().size()},
+                                    {"cut_hosts", cut_hosts_.size()},
+                                    {"connected_ago", now - last_connected_},
+                                    {"answered_ago", now - last_answer_}});
+}
+
 std::vector<server_id> reach_task::unreachable_owners() const
 {
     std::vector<server_id> out;
--- a/src/plugins/entry/reach_task.hpp
+++ b/src/plugins/entry/reach_task.hpp
@@ -41,7 +41,9 @@
     std::optional<host_id> choose_relay_host(const std::set<host_id>& tried);
 
     void on_connected(const backend_server& server);
-    void on_answer() { servers_.on_answer(); }
+    void on_answer();
+    /// Time since a server's last answer came here.
+    [[nodiscard]] duration time_since_answer(instant now) const { return now - last_answer_; }
     /// since: when the connection was tried.
     void on_connect_failed(const backend_server& server, instant since);
     void on_broken(const backend_server& server);
@@ -60,6 +62,8 @@
     void list_relay_hosts();
     void probe(instant now);
     void note_cut(instant now);
+    /// What is known of this host's ways when it becomes the coordinator.
+    void log_coordinator_reach(instant now) const;
     /// Servers of keyed services that this host does not reach.
     [[nodiscard]] std::vector<server_id> unreachable_owners() const;
     /// Asks another host whether it reaches servers that this one does not.
@@ -83,6 +87,9 @@
     std::optional<instant> owners_unreachable_since_;
     instant next_question_{};
     instant better_placed_until_{};
+    instant last_answer_{};
+    instant last_connected_{};
+    bool coordinates_{};
     bool probe_pending_{};
     instant probe_sent_{};
     std::minstd_rand random_;
--- a/src/plugins/entry/request_flow_send.cpp
+++ b/src/plugins/entry/request_flow_send.cpp
@@ -118,6 +118,7 @@
                                 ? services_.reach.choose_relay_host(relays_tried_)
                                 : std::nullopt;
     if (!relay_host) {
+        services_.relays.add("no_host");
         return false;
     }
     relays_tried_.insert(*relay_host);
--- a/src/plugins/entry/request_flow_server.cpp
+++ b/src/plugins/entry/request_flow_server.cpp
@@ -47,6 +47,10 @@
     auto& crashes = services_.crashes;
     // What else was in flight at the server is known to the other hosts only.
     crashes.on_crash(now, fingerprint_, process(), ran_for, false);
+    log_event("crash_suspected", {{"contents", fingerprint_},
+                                  {"server", server_.id.value},
+                                  {"way", relayed_ ? "relay" : "own"},
+                                  {"silent", services_.reach.time_since_answer(now)}});
     if (crashes.status(now, fingerprint_) == crash_status::quarantined) {
         log_event("quarantine", {{"contents", fingerprint_},
                                  {"request", id_},
@@ -94,6 +98,7 @@
     const bool certainly_its_own = response_.status != http_status::misdirected;
     auto notice = context_.platform.decode_notice(response_);
     if (relayed_) {
+        services_.relays.add("answered");
         // The server asked the host that it got the request from.
         notice.rest.reset();
     }
@@ -269,6 +274,9 @@
                               {"contents", fingerprint_},
                               {"caller", exchange_->caller},
                               {"took", took}});
+    if (relayed_) {
+        services_.relays.add(to_string(how));
+    }
     const bool not_connected =
         how == connection_loss::refused || how == connection_loss::not_connected;
     if (connection_ && not_connected) {
