Hosts tell which services they do not reach, and a cut of new connections lasts until one is made

Cause: what a host sees of its own ways was taken for one fact. An answer on a connection that lived on ended a cut of new ones, so others heard "cut" and "not cut" by turns and drew such hosts as a way; one bit stood for all services; a way that failed was forgotten with the request.

Change: reachability is kept for each service.

--- a/bench/slopes_bench.cpp
+++ b/bench/slopes_bench.cpp
@@ -225,7 +225,7 @@
     bool all = true;
     for (int i = 0; i < requests; ++i) {
         all = all && reach.reachable(asked);
-        reach.on_answer();
+        reach.on_answer(instant{millis{i}});
     }
     const auto request_us = since(begun) * 1e6 / requests;
     std::cout << "reach: " << memory << " B resident for 10,000 servers, " << request_us
--- a/include/quincewing/wire/reach_messages.hpp
+++ b/include/quincewing/wire/reach_messages.hpp
@@ -10,12 +10,16 @@
 /// Whether the sender reaches backend servers.
 struct host_reach
 {
+    /// It reaches no server of any service.
     bool cut_off{};
+    /// The services of which it reaches no server. Earlier builds name none.
+    std::vector<service_id> services;
 
     template <class F>
     void each_field(F&& f)
     {
         f(cut_off);
+        f(services);
     }
 };
 
--- a/src/plugins/entry/reach_task.cpp
+++ b/src/plugins/entry/reach_task.cpp
@@ -12,8 +12,10 @@
 namespace {
 
 constexpr millis probe_timeout{250};
-// A probe of which nothing was heard for so long does not hold up the next.
-constexpr seconds probe_forgotten_after{2};
+// Servers of a service that are tried at the same time while this host has to know whether it
+// reaches any, and otherwise.
+constexpr std::size_t max_checks = 3;
+constexpr std::size_t max_probes = 1;
 // A shorter cut is not told to others.
 constexpr millis settle_time{300};
 constexpr seconds question_interval{1};
@@ -26,13 +28,35 @@
 
 reach_task::reach_task(host_context context, peers_task& peers, server_connections& connections)
     : context_(std::move(context)), peers_(peers), connections_(connections),
-      random_(static_cast<std::uint32_t>(stable_hash(context_.self.value)))
+      hosts_(data_centre_id{context_.settings.data_centre},
+             static_cast<std::uint32_t>(stable_hash(context_.self.value)))
 {
 }
 
+// ---- servers
+
+const reach_task::service_reach* reach_task::find(const service_id& service) const
+{
+    const auto found = services_.find(service);
+    return found == services_.end() ? nullptr : &found->second;
+}
+
+bool reach_task::reachable(const backend_server& server) const
+{
+    const auto* service = find(server.service);
+    return service == nullptr || service->servers.reachable(server.id);
+}
+
 bool reach_task::reaches(const backend_server& server, duration max_idle) const
 {
-    return servers_.reachable(server.id) || connections_.has_idle(server.address, max_idle);
+    return reachable(server) || connections_.has_idle(server.address, max_idle);
+}
+
+bool reach_task::take_trial(const service_id& service, bool idempotent)
+{
+    const auto found = services_.find(service);
+    return found != services_.end() &&
+           found->second.servers.take_trial(monotonic_now(), idempotent);
 }
 
 std::vector<server_id> reach_task::unreachable(const service_id& service) const
@@ -40,162 +64,202 @@
     std::vector<server_id> out;
     const auto all = context_.view.servers_of(service);
     for (const auto& it : all) {
-        if (!servers_.reachable(it.id)) {
+        if (!reachable(it)) {
             out.push_back(it.id);
         }
     }
     return out.size() < all.size() ? out : std::vector<server_id>{};
 }
 
-bool reach_task::should_stand_aside(instant now) const
+bool reach_task::cut_off(const service_id& service) const
 {
-    const bool others = !near_.empty() || !far_.empty();
-    const bool cut = cut_since_ && now - *cut_since_ > settle_time;
-    const bool worse = owners_unreachable_since_ && now < better_placed_until_;
-    return others && (cut || worse);
+    const auto* it = find(service);
+    return it != nullptr && it->servers.cut_off();
 }
 
-// Kept ready, as a host that is cut off asks for each request.
-void reach_task::list_relay_hosts()
+bool reach_task::cut_off() const
 {
-    const data_centre_id own{context_.settings.data_centre};
-    near_.clear();
-    far_.clear();
-    for (const auto& [host, data_centre] : hosts_) {
-        if (!cut_hosts_.contains(host) && !leaving_.contains(host)) {
-            (data_centre == own ? near_ : far_).push_back(host);
-        }
-    }
-}
-
-std::optional<host_id> reach_task::choose_relay_host(const std::set<host_id>& tried)
-{
-    for (const auto* hosts : {&near_, &far_}) {
-        const auto n = hosts->size();
-        const auto first = n == 0 ? 0 : random_() % n;
-        for (std::size_t i = 0; i < n; ++i) {
-            const auto& host = (*hosts)[(first + i) % n];
-            if (!tried.contains(host)) {
-                return host;
-            }
-        }
-    }
-    return std::nullopt;
+    return !services_.empty() &&
+           std::all_of(services_.begin(), services_.end(),
+                       [](const auto& it) { return it.second.servers.cut_off(); });
 }
 
 void reach_task::on_connected(const backend_server& server)
 {
-    if (!servers_.reachable(server.id)) {
+    if (!reachable(server)) {
         log_event("server_reached", {{"server", server.id.value}});
     }
-    servers_.on_connected(server.id);
-    last_connected_ = monotonic_now();
+    if (const auto found = services_.find(server.service); found != services_.end()) {
+        found->second.servers.on_connected(monotonic_now(), server.id);
+    }
 }
 
-void reach_task::on_answer()
+void reach_task::on_answer(const service_id& service)
 {
-    servers_.on_answer();
-    last_answer_ = monotonic_now();
+    if (const auto found = services_.find(service); found != services_.end()) {
+        found->second.servers.on_answer(monotonic_now());
+    }
 }
 
 // Idle connections to a server that can't be reached are likely to be as dead, unless an answer
 // came since.
 void reach_task::on_connect_failed(const backend_server& server, instant since)
 {
-    if (servers_.on_connect_failed(monotonic_now(), server.id)) {
+    const auto found = services_.find(server.service);
+    if (found != services_.end() &&
+        found->second.servers.on_connect_failed(monotonic_now(), server.id, since)) {
         log_event("server_unreachable", {{"server", server.id.value}, {"address", server.address}});
     }
     connections_.drop_unused_since(server.address, since);
 }
 
-void reach_task::on_broken(const backend_server& server)
+void reach_task::on_broken(const backend_server& server, instant since)
 {
-    servers_.on_broken(server.id);
+    if (const auto found = services_.find(server.service); found != services_.end()) {
+        found->second.servers.on_broken(server.id, since);
+    }
 }
 
 void reach_task::on_servers()
 {
-    std::set<server_id> ids;
+    std::map<service_id, std::set<server_id>> ids;
     for (const auto& [id, it] : context_.view.servers()) {
-        ids.insert(id);
+        ids[it.service].insert(id);
     }
-    servers_.set_servers(ids);
-}
-
-void reach_task::on_host_connected(const host_id& host, const data_centre_id& data_centre)
-{
-    hosts_[host] = data_centre;
-    cut_hosts_.erase(host);
-    list_relay_hosts();
-    if (told_cut_) {
-        tell(host, true);
+    std::erase_if(services_, [&](const auto& it) { return !ids.contains(it.first); });
+    const reachability_options options{.first_probe = stable_hash(context_.self.value)};
+    for (const auto& [service, servers] : ids) {
+        services_.try_emplace(service, service_reach{.servers = server_reachability{options}})
+            .first->second.servers.set_servers(servers);
     }
 }
 
-void reach_task::on_host_lost(const host_id& host)
-{
-    hosts_.erase(host);
-    cut_hosts_.erase(host);
-    list_relay_hosts();
-}
-
-void reach_task::on_host_leaving(const host_id& host)
-{
-    leaving_.insert(host);
-    list_relay_hosts();
-}
+// ---- probes
 
-void reach_task::on_message(const host_id& from, const host_reach& it)
+// The end of a cut is found by connections of this host's own, not by requests.
+void reach_task::probe(instant now, service_reach& it)
 {
-    if (it.cut_off) {
-        cut_hosts_.insert(from);
-    } else {
-        cut_hosts_.erase(from);
+    const auto limit = it.servers.suspicious(now) ? max_checks : max_probes;
+    while (it.probes < limit) {
+        const auto due = it.servers.next_probe(now);
+        const auto& servers = context_.view.servers();
+        const auto found = due ? servers.find(*due) : servers.end();
+        if (found == servers.end()) {
+            return;
+        }
+        ++it.probes;
+        start_probe(now, found->second);
     }
-    list_relay_hosts();
-    log_event("host_reach", {{"host", from.value}, {"cut_off", it.cut_off ? "yes" : "no"}});
 }
 
-void reach_task::tell(const host_id& to, bool cut_off)
+void reach_task::start_probe(instant now, const backend_server& server)
 {
-    peers_.send(to, host_reach{.cut_off = cut_off});
+    const auto on_checked = [this, server, now](connect_result result) {
+        const auto found = services_.find(server.service);
+        if (found != services_.end() && found->second.probes > 0) {
+            --found->second.probes;
+        }
+        if (result == connect_result::accepted) {
+            on_connected(server);
+        } else {
+            on_connect_failed(server, now);
+        }
+    };
+    check_connect(context_.loop, server.address, probe_timeout, on_checked,
+                  context_.settings.servers_from);
 }
 
 void reach_task::tick(instant now, bool coordinates)
 {
-    probe(now);
-    note_cut(now);
     if (coordinates && !coordinates_) {
         log_coordinator_reach(now);
     }
     coordinates_ = coordinates;
-    const bool reaches_all = unreachable_owners().empty();
-    if (reaches_all) {
+    for (auto& [service, it] : services_) {
+        probe(now, it);
+    }
+    note_cuts(now);
+    if (unreachable_owners().empty()) {
         owners_unreachable_since_.reset();
-    } else {
-        owners_unreachable_since_ = owners_unreachable_since_.value_or(now);
+        return;
     }
-    if (coordinates && !reaches_all) {
+    owners_unreachable_since_ = owners_unreachable_since_.value_or(now);
+    if (coordinates) {
         compare_reach(now);
     }
 }
 
+void reach_task::note_cuts(instant now)
+{
+    unreached_services settled;
+    for (auto& [service, it] : services_) {
+        const bool cut = it.servers.cut_off();
+        if (cut != it.cut_since.has_value()) {
+            log_event("cut_off", {{"from", service.value}, {"state", cut ? "begins" : "ends"}});
+            it.cut_since = cut ? std::optional{now} : std::nullopt;
+        }
+        if (it.cut_since && now - *it.cut_since > settle_time) {
+            settled.insert(service);
+        }
+    }
+    if (settled == told_) {
+        return;
+    }
+    told_ = std::move(settled);
+    for (const auto& host : peers_.connected_hosts()) {
+        tell(host);
+    }
+}
+
+// ---- the term
+
+unreached_services reach_task::settled_cuts(instant now) const
+{
+    unreached_services out;
+    for (const auto& [service, it] : services_) {
+        if (context_.view.keyed(service) && it.cut_since && now - *it.cut_since > settle_time) {
+            out.insert(service);
+        }
+    }
+    return out;
+}
+
+bool reach_task::should_stand_aside(instant now) const
+{
+    const bool worse = owners_unreachable_since_ && now < better_placed_until_;
+    const auto cuts = settled_cuts(now).size();
+    if (!worse && cuts == 0) {
+        return false;
+    }
+    const auto fewest = hosts_.fewest_unreached(context_.view.keyed_services());
+    return fewest && (worse || *fewest < cuts);
+}
+
 void reach_task::log_coordinator_reach(instant now) const
 {
-    log_event("coordinator_reach", {{"cut_off", servers_.cut_off() ? "yes" : "no"},
-                                    {"unreachable", servers_.unreachable().size()},
-                                    {"cut_hosts", cut_hosts_.size()},
-                                    {"connected_ago", now - last_connected_},
-                                    {"answered_ago", now - last_answer_}});
+    for (const auto& [service, it] : services_) {
+        if (context_.view.keyed(service)) {
+            log_event("coordinator_reach", {{"service", service.value},
+                                            {"cut_off", it.servers.cut_off() ? "yes" : "no"},
+                                            {"unreachable", it.servers.unreachable().size()},
+                                            {"cut_hosts", hosts_.cut_hosts()},
+                                            {"connected_ago", now - it.servers.last_connected()},
+                                            {"answered_ago", now - it.servers.last_answer()}});
+        }
+    }
 }
 
 std::vector<server_id> reach_task::unreachable_owners() const
 {
     std::vector<server_id> out;
-    for (const auto& id : servers_.unreachable()) {
-        const auto* server = context_.view.find_usable_server(id);
-        if (server != nullptr && context_.view.keyed(server->service)) {
-            out.push_back(id);
+    for (const auto& [service, it] : services_) {
+        if (!context_.view.keyed(service)) {
+            continue;
+        }
+        for (const auto& id : it.servers.unreachable()) {
+            if (context_.view.find_usable_server(id) != nullptr) {
+                out.push_back(id);
+            }
         }
     }
     return out;
@@ -208,8 +272,9 @@
         return;
     }
     next_question_ = now + question_interval;
-    if (const auto host = choose_relay_host({})) {
-        auto servers = unreachable_owners();
+    auto servers = unreachable_owners();
+    const auto* first = context_.view.find_usable_server(servers.front());
+    if (const auto host = choose_relay_host(first->service, {})) {
         servers.resize(std::min(servers.size(), max_asked));
         peers_.send(*host, reach_question{.servers = std::move(servers)});
     }
@@ -251,47 +316,54 @@
     }
 }
 
-// The end of a cut is found by connections of this host's own, not by requests. One at a time.
-void reach_task::probe(instant now)
+// ---- other hosts
+
+std::optional<host_id> reach_task::choose_relay_host(const service_id& service,
+                                                     const std::set<host_id>& tried)
 {
-    if (probe_pending_ && now - probe_sent_ < probe_forgotten_after) {
-        return;
-    }
-    const auto due = servers_.next_probe(now);
-    const auto found = due ? context_.view.servers().find(*due) : context_.view.servers().end();
-    if (found == context_.view.servers().end()) {
-        return;
-    }
-    probe_pending_ = true;
-    probe_sent_ = now;
-    check_connect(
-        context_.loop, found->second.address, probe_timeout,
-        [this, server = found->second, now](connect_result result) {
-            probe_pending_ = false;
-            if (result == connect_result::accepted) {
-                on_connected(server);
-            } else {
-                on_connect_failed(server, now);
-            }
-        },
-        context_.settings.servers_from);
+    return hosts_.choose(monotonic_now(), service, tried);
 }
 
-void reach_task::note_cut(instant now)
+void reach_task::on_relay_failed(const host_id& host, const service_id& service)
 {
-    const bool cut = servers_.cut_off();
-    if (cut != cut_since_.has_value()) {
-        log_event("cut_off", {{"from", "servers"}, {"state", cut ? "begins" : "ends"}});
-        cut_since_ = cut ? std::optional{now} : std::nullopt;
-    }
-    const bool tells = cut_since_ && now - *cut_since_ > settle_time;
-    if (tells == told_cut_) {
-        return;
+    hosts_.on_failed(monotonic_now(), host, service);
+}
+
+void reach_task::on_host_connected(const host_id& host, const data_centre_id& data_centre)
+{
+    hosts_.add(host, data_centre);
+    if (!told_.empty()) {
+        tell(host);
     }
-    told_cut_ = tells;
-    for (const auto& host : peers_.connected_hosts()) {
-        tell(host, tells);
+}
+
+void reach_task::on_host_lost(const host_id& host)
+{
+    hosts_.remove(host);
+}
+
+void reach_task::on_host_leaving(const host_id& host)
+{
+    hosts_.set_leaving(host);
+}
+
+// An earlier build names no services.
+void reach_task::on_message(const host_id& from, const host_reach& it)
+{
+    unreached_services services{it.services.begin(), it.services.end()};
+    if (it.cut_off && services.empty()) {
+        for (const auto& [service, reach] : services_) {
+            services.insert(service);
+        }
     }
+    log_event("host_reach", {{"host", from.value}, {"services_missed", services.size()}});
+    hosts_.set_unreached(from, std::move(services));
+}
+
+void reach_task::tell(const host_id& to)
+{
+    peers_.send(to, host_reach{.cut_off = !told_.empty() && told_.size() == services_.size(),
+                               .services = {told_.begin(), told_.end()}});
 }
 
 } // namespace quincewing
--- a/src/plugins/entry/request_flow_send.cpp
+++ b/src/plugins/entry/request_flow_send.cpp
@@ -50,7 +50,7 @@
     relays_tried_.clear();
     verdict_before_send_ = verdict_;
     auto& reach = services_.reach;
-    if (reach.reaches(server_, max_idle()) || reach.take_trial(idempotent())) {
+    if (reach.reaches(server_, max_idle()) || reach.take_trial(service_, idempotent())) {
         send_directly();
     } else if (!send_by_relay()) {
         leave_unreachable("unreachable");
@@ -115,7 +115,7 @@
 bool request_flow::send_by_relay()
 {
     const auto relay_host = relays_tried_.size() < max_relay_hosts
-                                ? services_.reach.choose_relay_host(relays_tried_)
+                                ? services_.reach.choose_relay_host(service_, relays_tried_)
                                 : std::nullopt;
     if (!relay_host) {
         services_.relays.add("no_host");
@@ -143,7 +143,7 @@
 // waiting is of no use.
 void request_flow::leave_unreachable(const char* why)
 {
-    const bool cut = services_.reach.cut_off();
+    const bool cut = services_.reach.cut_off(service_);
     leave_server(cut ? attempt_outcome::host_cut_off : attempt_outcome::connection_lost, false);
     if (cut || key_) {
         end_unserved("unreachable", retry_after_unreachable);
--- a/src/plugins/entry/request_flow_server.cpp
+++ b/src/plugins/entry/request_flow_server.cpp
@@ -49,8 +49,7 @@
     crashes.on_crash(now, fingerprint_, process(), ran_for, false);
     log_event("crash_suspected", {{"contents", fingerprint_},
                                   {"server", server_.id.value},
-                                  {"way", relayed_ ? "relay" : "own"},
-                                  {"silent", services_.reach.time_since_answer(now)}});
+                                  {"way", relayed_ ? "relay" : "own"}});
     if (crashes.status(now, fingerprint_) == crash_status::quarantined) {
         log_event("quarantine", {{"contents", fingerprint_},
                                  {"request", id_},
@@ -83,7 +82,7 @@
 head_action request_flow::on_head(message_head& head)
 {
     if (connection_) {
-        services_.reach.on_answer();
+        services_.reach.on_answer(service_);
     }
     if (!answers_this(head)) {
         services_.on_notice(server_, {}, context_.platform.decode_notice(head));
@@ -276,19 +275,22 @@
                               {"took", took}});
     if (relayed_) {
         services_.relays.add(to_string(how));
+        if (!sent && how != connection_loss::withdrawn) {
+            services_.reach.on_relay_failed(relayed_->relay_host(), service_);
+        }
     }
     const bool not_connected =
         how == connection_loss::refused || how == connection_loss::not_connected;
     if (connection_ && not_connected) {
         services_.reach.on_connect_failed(server_, sent_at_);
     } else if (connection_ && (how == connection_loss::reset || how == connection_loss::closed)) {
-        services_.reach.on_broken(server_);
+        services_.reach.on_broken(server_, sent_at_);
     }
     if (!sent && (not_connected || relayed_)) {
         on_not_sent(how);
         return;
     }
-    const bool cut = services_.reach.cut_off() || how == connection_loss::host_lost;
+    const bool cut = services_.reach.cut_off(service_) || how == connection_loss::host_lost;
     leave_server(cut ? attempt_outcome::host_cut_off : attempt_outcome::connection_lost, false);
     if (sent && (how == connection_loss::closed || how == connection_loss::reset)) {
         note_crash(took);
--- a/src/plugins/entry/request_relay.cpp
+++ b/src/plugins/entry/request_relay.cpp
@@ -160,7 +160,7 @@
 
 head_action request_relay::on_head(relay& it, message_head& head)
 {
-    reach_.on_answer();
+    reach_.on_answer(it.server.service);
     const auto notice = context_.platform.decode_notice(head);
     if (!answers(it, head)) {
         hooks_.on_notice(it.server, {}, notice);
@@ -223,7 +223,7 @@
     if (how == connection_loss::refused || how == connection_loss::not_connected) {
         reach_.on_connect_failed(it.server, it.sent_at);
     } else if (how == connection_loss::reset || how == connection_loss::closed) {
-        reach_.on_broken(it.server);
+        reach_.on_broken(it.server, it.sent_at);
     }
     log_event("server_lost", {{"server", it.server.id.value},
                               {"how", to_string(how)},
