A coordinator without callers learns from its calls that it is cut off, and candidates check first

Cause: a host knows its ways from its callers' requests. A coordinator without callers saw its grants fail and took that for facts about the servers; whoever took the term knew no more of its own ways.

Change: what a grant or release shows of the way to its server counts as that host's reach, so that it asks others, tells of a cut and gives its term up as before. A host whose turn it is to take the term connects to a server of each keyed service first, unless it has within the last second; it waits for that at most a second, and a cut that it finds is told.

--- a/include/quincewing/assignment/coordinator.hpp
+++ b/include/quincewing/assignment/coordinator.hpp
@@ -136,6 +136,8 @@
 
     // State.
     [[nodiscard]] bool coordinating() const { return coordinating_; }
+    /// No coordinator is there, as far as this host knows, and it is the next to take the term.
+    [[nodiscard]] bool next_to_coordinate(instant now) const;
     /// This host has the term and a recent read confirmed it: it may grant and move keys.
     [[nodiscard]] bool acting(instant now) const;
     [[nodiscard]] const assignment_table& table() const { return table_; }
--- a/include/quincewing/deployment/deployment_api.hpp
+++ b/include/quincewing/deployment/deployment_api.hpp
@@ -15,10 +15,25 @@
 
 struct message_head;
 
+/// What a call shows of the way to its server.
+enum class call_way
+{
+    /// Nothing was sent, and no connection was tried.
+    untried,
+    /// No connection could be made.
+    connect_failed,
+    /// The call was sent and got no answer.
+    broken,
+    /// An answer came on a connection that was open before, and on one that was made for the call.
+    answered,
+    answered_anew
+};
+
 /// How a call that grants keys or takes them back ended.
 struct key_call_result
 {
     call_outcome outcome{call_outcome::unknown};
+    call_way way{call_way::untried};
     /// The connection that carried the call.
     connection_number connection;
     /// The server's proof of an orderly release; may be empty.
--- a/include/quincewing/net/http_call.hpp
+++ b/include/quincewing/net/http_call.hpp
@@ -36,6 +36,8 @@
     std::string body;
     /// Nobody listens at the address.
     bool refused{};
+    /// A pool tried to connect in vain.
+    bool connect_failed{};
     /// Bytes of the request may have gone out.
     bool sent{true};
     /// Number of the pool's connection that carried the call; 0 outside a pool.
--- a/src/libs/assignment/coordinator.cpp
+++ b/src/libs/assignment/coordinator.cpp
@@ -352,10 +352,8 @@
         advance_ranges(now);
         return;
     }
-    const bool just_started = now - *started_ < options_.takeover_start_delay;
     // A host reads the table only when it is its turn to take the term.
-    const bool silent = now - last_heartbeat_ >= takeover_delay();
-    if (!stopping_ && !just_started && !standing_aside_ && silent && due && !takeover_pending_ &&
+    if (!standing_aside_ && next_to_coordinate(now) && due && !takeover_pending_ &&
         (!pending_append_ || append_outcome_unknown_)) {
         takeover_pending_ = table_known_ || table_.term == 0;
         request_read(now);
--- a/src/libs/assignment/coordinator_term.cpp
+++ b/src/libs/assignment/coordinator_term.cpp
@@ -36,6 +36,13 @@
     return wait + delay_per_rank * std::min(takeover_rank_, max_delayed_ranks);
 }
 
+bool coordinator::next_to_coordinate(instant now) const
+{
+    const bool just_started = !started_ || now - *started_ < options_.takeover_start_delay;
+    return !stopping_ && !coordinating_ && !just_started &&
+           now - last_heartbeat_ >= takeover_delay();
+}
+
 void coordinator::try_takeover(instant now)
 {
     if (stopping_ || standing_aside_ || coordinating_ || !may_append(now) ||
--- a/src/libs/http/call_pool.cpp
+++ b/src/libs/http/call_pool.cpp
@@ -117,7 +117,7 @@
     it.timeout.set([this, pooled] {
         const bool sent = pooled->connection->sent();
         pooled->connection->abort();
-        finish(*pooled, {.sent = sent}, false);
+        finish(*pooled, {.connect_failed = !sent, .sent = sent}, false);
     });
     it.timeout.once(left);
     it.connection->send(
@@ -141,6 +141,8 @@
              [this, pooled](connection_loss how) {
                  finish(*pooled,
                         {.refused = how == connection_loss::refused,
+                         .connect_failed = how == connection_loss::refused ||
+                                           how == connection_loss::not_connected,
                          .sent = pooled->connection->sent()},
                         false);
              }});
--- a/src/plugins/entry/coordination_task.cpp
+++ b/src/plugins/entry/coordination_task.cpp
@@ -114,6 +114,14 @@
     execute_effects();
 }
 
+coordinator_role coordination_task::role(instant now) const
+{
+    if (core_.coordinating()) {
+        return coordinator_role::coordinator;
+    }
+    return core_.next_to_coordinate(now) ? coordinator_role::candidate : coordinator_role::none;
+}
+
 void coordination_task::set_standing_aside(bool on)
 {
     standing_aside_ = on;
--- a/src/plugins/entry/coordination_task.hpp
+++ b/src/plugins/entry/coordination_task.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "configuration_follower.hpp"
+#include "coordinator_role.hpp"
 #include "store_follower.hpp"
 
 #include "quincewing/assignment/coordinator.hpp"
@@ -22,6 +23,8 @@
     std::function<void()> on_assignment_change;
     /// What the answer to a grant or release says of its server.
     std::function<void(const backend_server&, const server_notice&)> on_notice;
+    /// What a grant or release that was begun at a time shows of the way to its server.
+    std::function<void(const key_holder&, instant begun_at, call_way)> on_key_call;
     /// Another host knows a higher era of the store.
     std::function<void(store_era)> on_era_told;
 };
@@ -68,6 +71,7 @@
     void record_service_time(const server_id& server, duration took);
 
     [[nodiscard]] const coordinator& core() const { return core_; }
+    [[nodiscard]] coordinator_role role(instant now) const;
     /// The coordinator's last message and the store reads behind it are recent.
     [[nodiscard]] bool has_fresh_coordinator(instant now) const;
 
--- a/src/plugins/entry/coordination_task_effects.cpp
+++ b/src/plugins/entry/coordination_task_effects.cpp
@@ -90,9 +90,11 @@
 
 void coordination_task::execute(const grant_keys& it)
 {
-    context_.platform.keys.grant(it, [this, it](const key_call_result& result) {
+    const auto begun_at = monotonic_now();
+    context_.platform.keys.grant(it, [this, it, begun_at](const key_call_result& result) {
         const auto now = monotonic_now();
         key_calls_.add(to_string(result.outcome));
+        hooks_.on_key_call(it.holder, begun_at, result.way);
         if (result.outcome != call_outcome::accepted) {
             log_event("grant_failed", {{"server", it.holder.id.value},
                                        {"keys", to_string(it.keys)},
@@ -110,9 +112,11 @@
 
 void coordination_task::execute(const release_keys& it)
 {
-    context_.platform.keys.release(it, [this, it](const key_call_result& result) {
+    const auto begun_at = monotonic_now();
+    context_.platform.keys.release(it, [this, it, begun_at](const key_call_result& result) {
         const auto now = monotonic_now();
         key_calls_.add(to_string(result.outcome));
+        hooks_.on_key_call(it.holder, begun_at, result.way);
         if (result.outcome != call_outcome::accepted) {
             log_event("release_failed", {{"server", it.holder.id.value},
                                          {"keys", to_string(it.keys)},
--- a/src/plugins/entry/entry_host.cpp
+++ b/src/plugins/entry/entry_host.cpp
@@ -73,6 +73,8 @@
                         [this](const backend_server& server, const server_notice& notice) {
                             conditions.on_notice(server, {}, notice);
                         },
+                    .on_key_call = [this](const key_holder& to, instant begun_at,
+                                          call_way way) { reach.on_key_call(to, begun_at, way); },
                     .on_era_told = [this](store_era era) { store_eras.on_told(era); }}),
       dispatch(context, peers), crashes(context, peers),
       conditions(context, peers,
@@ -257,7 +259,7 @@
     follower.tick(now);
     configuration.tick(now);
     configuration_confirmed = configuration_confirmed || configuration_in_force();
-    reach.tick(now, coordination.core().coordinating());
+    reach.tick(now, coordination.role(now));
     coordination.set_standing_aside(reach.should_stand_aside(now) ||
                                     coordination.should_yield(now));
     coordination.tick(now);
--- a/src/plugins/entry/reach_task.cpp
+++ b/src/plugins/entry/reach_task.cpp
@@ -18,6 +18,10 @@
 constexpr std::size_t max_probes = 1;
 // A shorter cut is not told to others.
 constexpr millis settle_time{300};
+// A host that connected to a server so long ago reaches the service.
+constexpr seconds proof_age{1};
+// The term does not wait longer for a host to find out what it reaches.
+constexpr seconds max_proof_wait{1};
 constexpr seconds question_interval{1};
 // A host that was better placed counts as such for longer than it takes to ask again.
 constexpr seconds better_placed_time{3};
@@ -120,6 +124,34 @@
     }
 }
 
+// A host without callers learns of its ways from the coordinator's calls only.
+void reach_task::on_key_call(const key_holder& to, instant since, call_way way)
+{
+    const auto& servers = context_.view.servers();
+    const auto found = servers.find(to.id);
+    if (found == servers.end() || found->second.address != to.address) {
+        return;
+    }
+    const auto& server = found->second;
+    switch (way) {
+    case call_way::untried:
+        return;
+    case call_way::connect_failed:
+        on_connect_failed(server, since);
+        return;
+    case call_way::broken:
+        on_broken(server, since);
+        return;
+    case call_way::answered_anew:
+        on_connected(server);
+        on_answer(server.service);
+        return;
+    case call_way::answered:
+        on_answer(server.service);
+        return;
+    }
+}
+
 void reach_task::on_servers()
 {
     std::map<service_id, std::set<server_id>> ids;
@@ -137,11 +169,15 @@
 // ---- probes
 
 // The end of a cut is found by connections of this host's own, not by requests.
-void reach_task::probe(instant now, service_reach& it)
+void reach_task::probe(instant now, const service_id& service, service_reach& it)
 {
-    const auto limit = it.servers.suspicious(now) ? max_checks : max_probes;
+    const bool needs_proof = unproven(now, service, it);
+    const auto limit = needs_proof || it.servers.suspicious(now) ? max_checks : max_probes;
     while (it.probes < limit) {
-        const auto due = it.servers.next_probe(now);
+        auto due = it.servers.next_probe(now);
+        if (!due && needs_proof) {
+            due = it.servers.next_check();
+        }
         const auto& servers = context_.view.servers();
         const auto found = due ? servers.find(*due) : servers.end();
         if (found == servers.end()) {
@@ -169,14 +205,17 @@
                   context_.settings.servers_from);
 }
 
-void reach_task::tick(instant now, bool coordinates)
+void reach_task::tick(instant now, coordinator_role role)
 {
-    if (coordinates && !coordinates_) {
-        log_coordinator_reach(now);
+    if (role != role_) {
+        role_ = role;
+        role_since_ = now;
+        if (role == coordinator_role::coordinator) {
+            log_coordinator_reach(now);
+        }
     }
-    coordinates_ = coordinates;
     for (auto& [service, it] : services_) {
-        probe(now, it);
+        probe(now, service, it);
     }
     note_cuts(now);
     if (unreachable_owners().empty()) {
@@ -184,7 +223,7 @@
         return;
     }
     owners_unreachable_since_ = owners_unreachable_since_.value_or(now);
-    if (coordinates) {
+    if (role == coordinator_role::coordinator) {
         compare_reach(now);
     }
 }
@@ -224,8 +263,25 @@
     return out;
 }
 
+bool reach_task::unproven(instant now, const service_id& service, const service_reach& it) const
+{
+    const bool settled = it.cut_since && now - *it.cut_since > settle_time;
+    return role_ == coordinator_role::candidate && now - role_since_ < max_proof_wait &&
+           context_.view.keyed(service) && !settled &&
+           now - it.servers.last_connected() > proof_age;
+}
+
+bool reach_task::unproven(instant now) const
+{
+    return std::any_of(services_.begin(), services_.end(),
+                       [&](const auto& it) { return unproven(now, it.first, it.second); });
+}
+
 bool reach_task::should_stand_aside(instant now) const
 {
+    if (unproven(now)) {
+        return true;
+    }
     const bool worse = owners_unreachable_since_ && now < better_placed_until_;
     const auto cuts = settled_cuts(now).size();
     if (!worse && cuts == 0) {
--- a/src/plugins/entry/reach_task.hpp
+++ b/src/plugins/entry/reach_task.hpp
@@ -1,7 +1,10 @@
 #pragma once
 
+#include "coordinator_role.hpp"
 #include "server_connections.hpp"
 
+#include "quincewing/assignment/assignment_table.hpp"
+#include "quincewing/deployment/deployment_api.hpp"
 #include "quincewing/dispatch/relay_hosts.hpp"
 #include "quincewing/dispatch/server_reachability.hpp"
 #include "quincewing/entry/host_context.hpp"
@@ -35,7 +38,8 @@
     [[nodiscard]] bool cut_off() const;
     /// The other host told that it does not reach servers of some service.
     [[nodiscard]] bool told_cut(const host_id& host) const { return hosts_.cut(host); }
-    /// Another host is better placed to reach the servers, and has been for some time.
+    /// Another host is better placed to reach the servers, and has been for some time, or this one
+    /// does not know yet whether it reaches any.
     [[nodiscard]] bool should_stand_aside(instant now) const;
     /// A host that requests to the service can go by way of; none if there is none beside these.
     std::optional<host_id> choose_relay_host(const service_id& service,
@@ -50,6 +54,8 @@
     void on_connect_failed(const backend_server& server, instant since);
     /// since: when the request was sent.
     void on_broken(const backend_server& server, instant since);
+    /// A grant or release, and when it was begun.
+    void on_key_call(const key_holder& to, instant since, call_way way);
 
     void on_servers();
     void on_host_connected(const host_id& host, const data_centre_id& data_centre);
@@ -58,8 +64,7 @@
     void on_message(const host_id& from, const host_reach& it);
     void on_message(const host_id& from, const reach_question& it);
     void on_message(const host_id& from, const reach_result& it);
-    /// coordinates: this host does.
-    void tick(instant now, bool coordinates);
+    void tick(instant now, coordinator_role role);
 
 private:
     struct service_reach
@@ -72,13 +77,17 @@
 
     [[nodiscard]] const service_reach* find(const service_id& service) const;
     [[nodiscard]] bool reachable(const backend_server& server) const;
-    void probe(instant now, service_reach& it);
+    void probe(instant now, const service_id& service, service_reach& it);
     void start_probe(instant now, const backend_server& server);
     /// Tells the other hosts of cuts that began or ended.
     void note_cuts(instant now);
     void tell(const host_id& to);
     /// Services with keys of which this host reaches no server, for some time now.
     [[nodiscard]] unreached_services settled_cuts(instant now) const;
+    /// This host may take the term soon, and has connected to no server of a service with keys.
+    [[nodiscard]] bool unproven(instant now) const;
+    [[nodiscard]] bool unproven(instant now, const service_id& service,
+                                const service_reach& it) const;
     /// What is known of this host's ways when it becomes the coordinator.
     void log_coordinator_reach(instant now) const;
     /// Servers of keyed services that this host does not reach.
@@ -93,7 +102,8 @@
     std::map<service_id, service_reach> services_;
     /// What this host told last.
     unreached_services told_;
-    bool coordinates_{};
+    coordinator_role role_{coordinator_role::none};
+    instant role_since_{};
     /// Since when this host has not reached some owners of keys.
     std::optional<instant> owners_unreachable_since_;
     instant next_question_{};
