Crashes that only a host which is cut off has seen do not count

Cause: a broken connection of one host, taken for a fact about the server and about the request.

Change: a connection that breaks under a request is a suspicion first (unproven_crashes). It counts once a server answers a later request by way of the same host, once the process is gone from the servers, or after a second in which that host is not cut off; a process or a request that is answered clears it.

--- a/src/plugins/entry/crash_exchange.cpp
+++ b/src/plugins/entry/crash_exchange.cpp
@@ -5,6 +5,7 @@
 
 #include <charconv>
 #include <chrono>
+#include <set>
 
 namespace quincewing {
 
@@ -34,8 +35,14 @@
 
 } // namespace
 
-crash_exchange::crash_exchange(host_context context, peers_task& peers)
-    : context_(std::move(context)), peers_(peers),
+server_process process_of(const backend_server& it)
+{
+    return server_process{stable_hash(it.id.value, it.start.value)};
+}
+
+crash_exchange::crash_exchange(host_context context, peers_task& peers,
+                               std::function<bool(const host_id&)> cut_off)
+    : context_(std::move(context)), peers_(peers), cut_off_(std::move(cut_off)),
       random_(static_cast<std::uint32_t>(stable_hash(context_.self.value)))
 {
 }
@@ -45,8 +52,53 @@
     tell_digest(host, monotonic_now());
 }
 
+// ---- what this host has seen
+
+void crash_exchange::on_broken(const unproven_crash& it)
+{
+    unproven_.add(it);
+}
+
+void crash_exchange::on_answer(const host_id& way, server_process process, instant sent_at)
+{
+    guard_.on_process_alive(process, sent_at);
+    if (unproven_.empty()) {
+        return;
+    }
+    unproven_.on_answer(way, process, sent_at);
+    if (unproven_.any_proven()) {
+        settle(monotonic_now());
+    }
+}
+
+void crash_exchange::on_request_answered(std::uint64_t fingerprint)
+{
+    guard_.on_answer(monotonic_now(), fingerprint);
+    unproven_.on_request_answered(fingerprint);
+}
+
+void crash_exchange::settle(instant now)
+{
+    std::set<server_process> listed;
+    for (const auto& [id, server] : context_.view.servers()) {
+        listed.insert(process_of(server));
+    }
+    const crash_evidence evidence{.listed = [&](server_process it) { return listed.contains(it); },
+                                  .cut_off = cut_off_};
+    for (const auto& it : unproven_.take_proven(now, evidence)) {
+        // What else was in flight at the server is known to the other hosts only.
+        guard_.on_crash(it.at, it.fingerprint, it.process, it.ran_for, false);
+        if (guard_.status(now, it.fingerprint) == crash_status::quarantined) {
+            log_event("quarantine", {{"contents", it.fingerprint}});
+        }
+    }
+}
+
 void crash_exchange::tick(instant now, bool coordinating)
 {
+    if (!unproven_.empty()) {
+        settle(now);
+    }
     tell_findings(now);
     read_store(now, coordinating);
     if (coordinating && read_done_) {
--- a/src/plugins/entry/entry_host.cpp
+++ b/src/plugins/entry/entry_host.cpp
@@ -76,7 +76,8 @@
                     .on_key_call = [this](const key_holder& to, instant begun_at,
                                           call_way way) { reach.on_key_call(to, begun_at, way); },
                     .on_era_told = [this](store_era era) { store_eras.on_told(era); }}),
-      dispatch(context, peers), crashes(context, peers),
+      dispatch(context, peers),
+      crashes(context, peers, [this](const host_id& it) { return cut_off(it); }),
       conditions(context, peers,
                  {.on_limits = [this] { on_limits_change(); },
                   .on_leaving = [this] { on_view_change(); },
@@ -89,7 +90,7 @@
           .reach = reach,
           .host_count = [this] { return peers.known_hosts() + 1; },
           .budget = [this](const service_id& it) -> shared_retry_budget& { return budget(it); },
-          .crashes = crashes.guard(),
+          .crashes = crashes,
           .may_start_requests = [this] { return listener.may_start_requests(); },
           .response_sizes = {},
           .record_request = [this](const service_id& service,
@@ -206,6 +207,11 @@
     dispatch.on_servers(monotonic_now());
 }
 
+bool entry_host::tasks::cut_off(const host_id& host) const
+{
+    return host == self ? reach.cut_off_from_any() : reach.told_cut(host);
+}
+
 void entry_host::tasks::on_host_lost(const host_id& host)
 {
     log_event("dependency", {{"name", "host"}, {"host", host.value}, {"state", "lost"}});
--- a/src/plugins/entry/entry_host_tasks.hpp
+++ b/src/plugins/entry/entry_host_tasks.hpp
@@ -35,6 +35,8 @@
     void on_view_change();
     void on_limits_change();
     void on_host_lost(const host_id& host);
+    /// The host, this or another one, does not reach the servers of some service.
+    [[nodiscard]] bool cut_off(const host_id& host) const;
     /// A host that links to one that stops has not heard of the stop.
     void tell_if_stopping(const host_id& host);
     void log_store_calls();
--- a/src/plugins/entry/flow_services.hpp
+++ b/src/plugins/entry/flow_services.hpp
@@ -2,7 +2,6 @@
 
 #include "request_ends.hpp"
 
-#include "quincewing/admission/crash_guard.hpp"
 #include "quincewing/assignment/assignment_table.hpp"
 #include "quincewing/base/ids.hpp"
 #include "quincewing/deployment/server_notice.hpp"
@@ -15,6 +14,7 @@
 
 namespace quincewing {
 
+class crash_exchange;
 class dispatch_task;
 class peers_task;
 class reach_task;
@@ -32,7 +32,7 @@
     /// The retry budget of a service.
     std::function<shared_retry_budget&(const service_id&)> budget;
     /// What the fleet knows of requests that crash servers.
-    crash_guard& crashes;
+    crash_exchange& crashes;
     /// False once the host is about to end: requests that are not at a server are refused. Ask it
     /// right before each send.
     std::function<bool()> may_start_requests;
--- a/src/plugins/entry/reach_task.cpp
+++ b/src/plugins/entry/reach_task.cpp
@@ -88,6 +88,12 @@
                        [](const auto& it) { return it.second.servers.cut_off(); });
 }
 
+bool reach_task::cut_off_from_any() const
+{
+    return std::any_of(services_.begin(), services_.end(),
+                       [](const auto& it) { return it.second.servers.cut_off(); });
+}
+
 void reach_task::on_connected(const backend_server& server)
 {
     if (!reachable(server)) {
--- a/src/plugins/entry/reach_task.hpp
+++ b/src/plugins/entry/reach_task.hpp
@@ -34,8 +34,9 @@
     [[nodiscard]] std::vector<server_id> unreachable(const service_id& service) const;
     /// This host reaches no server of the service.
     [[nodiscard]] bool cut_off(const service_id& service) const;
-    /// This host reaches no server of any service.
+    /// This host reaches no server of any service, or of some service.
     [[nodiscard]] bool cut_off() const;
+    [[nodiscard]] bool cut_off_from_any() const;
     /// The other host told that it does not reach servers of some service.
     [[nodiscard]] bool told_cut(const host_id& host) const { return hosts_.cut(host); }
     /// Another host is better placed to reach the servers, and has been for some time, or this one
--- a/src/plugins/entry/request_flow.cpp
+++ b/src/plugins/entry/request_flow.cpp
@@ -1,5 +1,6 @@
 #include "request_flow.hpp"
 
+#include "crash_exchange.hpp"
 #include "http_status.hpp"
 #include "request_properties.hpp"
 
@@ -329,7 +330,7 @@
 // Asked again before each send, since another host may have learned of it meanwhile.
 bool request_flow::reject_if_quarantined()
 {
-    const auto left = services_.crashes.quarantine_left(monotonic_now(), fingerprint_);
+    const auto left = services_.crashes.guard().quarantine_left(monotonic_now(), fingerprint_);
     if (left <= duration{0}) {
         return false;
     }
--- a/src/plugins/entry/request_flow.hpp
+++ b/src/plugins/entry/request_flow.hpp
@@ -103,10 +103,10 @@
     void on_sent();
     [[nodiscard]] bool server_still_usable() const;
     [[nodiscard]] std::string server_request_head() const;
-    /// The chosen server's process.
-    [[nodiscard]] server_process process() const;
     /// The connection broke after the request was sent: the request may have crashed the server.
-    void note_crash(duration ran_for);
+    void note_broken(duration ran_for);
+    /// The host whose connections the request is sent on.
+    [[nodiscard]] const host_id& way() const;
     /// Whether the answer is to this request and to no other.
     [[nodiscard]] bool answers_this(const message_head& head) const;
     head_action on_head(message_head& head);
--- a/src/plugins/entry/request_flow_server.cpp
+++ b/src/plugins/entry/request_flow_server.cpp
@@ -1,6 +1,7 @@
 #include "request_flow.hpp"
 
 #include "answer_match.hpp"
+#include "crash_exchange.hpp"
 #include "http_status.hpp"
 #include "request_properties.hpp"
 
@@ -36,26 +37,21 @@
            context_.view.conditions().rest_left(monotonic_now(), *now) <= duration{0};
 }
 
-server_process request_flow::process() const
+const host_id& request_flow::way() const
 {
-    return server_process{stable_hash(server_.id.value, server_.start.value)};
+    return relayed_ ? relayed_->relay_host() : context_.self;
 }
 
-void request_flow::note_crash(duration ran_for)
+void request_flow::note_broken(duration ran_for)
 {
-    const auto now = monotonic_now();
-    auto& crashes = services_.crashes;
-    // What else was in flight at the server is known to the other hosts only.
-    crashes.on_crash(now, fingerprint_, process(), ran_for, false);
+    services_.crashes.on_broken({.fingerprint = fingerprint_,
+                                 .process = process_of(server_),
+                                 .way = way(),
+                                 .at = monotonic_now(),
+                                 .ran_for = ran_for});
     log_event("crash_suspected", {{"contents", fingerprint_},
                                   {"server", server_.id.value},
                                   {"way", relayed_ ? "relay" : "own"}});
-    if (crashes.status(now, fingerprint_) == crash_status::quarantined) {
-        log_event("quarantine", {{"contents", fingerprint_},
-                                 {"request", id_},
-                                 {"server", server_.id.value},
-                                 {"caller", exchange_->caller}});
-    }
 }
 
 // A server may write an answer to an earlier request once more, where the answer to this one is
@@ -216,10 +212,10 @@
     }
     // A server's error may end a run that would have crashed it.
     if (outcome == attempt_outcome::answered) {
-        services_.crashes.on_answer(now, fingerprint_);
+        services_.crashes.on_request_answered(fingerprint_);
     }
     if (response_.status != http_status::misdirected) {
-        services_.crashes.on_process_alive(process(), sent_at_);
+        services_.crashes.on_answer(way(), process_of(server_), sent_at_);
     }
     if (connection_ && outcome == attempt_outcome::rejected && !idempotent()) {
         connection_->refused.add(stable_hash(id_), now, deadline_ + response_grace);
@@ -291,10 +287,10 @@
         return;
     }
     const bool cut = services_.reach.cut_off(service_) || how == connection_loss::host_lost;
-    leave_server(cut ? attempt_outcome::host_cut_off : attempt_outcome::connection_lost, false);
     if (sent && (how == connection_loss::closed || how == connection_loss::reset)) {
-        note_crash(took);
+        note_broken(took);
     }
+    leave_server(cut ? attempt_outcome::host_cut_off : attempt_outcome::connection_lost, false);
     if (exchange_->disconnected()) {
         finish(0, to_string(exchange_->disconnect_cause()));
         return;
--- a/tests/auto/entry/crash_exchange_test.cpp
+++ b/tests/auto/entry/crash_exchange_test.cpp
@@ -31,7 +31,7 @@
 
     follower_fixture f;
     peers_task peers{f.loop, {.self = f.context.self, .address = f.settings.peers}, {}};
-    crash_exchange crashes{f.context, peers};
+    crash_exchange crashes{f.context, peers, [](const host_id&) { return false; }};
 };
 
 } // namespace
