Who takes the term reaches half of a sample of the owners first

Cause: one connection, and one that was made before the cut, was taken for the way to all owners.

Change: a host whose turn it is connects to six servers of each keyed service, chosen at random, and takes the term when it has reached half of them, or after two seconds whatever it reaches.

--- a/include/quincewing/dispatch/server_reachability.hpp
+++ b/include/quincewing/dispatch/server_reachability.hpp
@@ -70,8 +70,6 @@
     [[nodiscard]] std::vector<server_id> unreachable() const;
     /// A server that is due to be tried without a request. Counts it as tried.
     std::optional<server_id> next_probe(instant now);
-    /// A server to try in order to know whether this host reaches any. Counts it as tried.
-    std::optional<server_id> next_check();
     [[nodiscard]] bool suspicious(instant now) const;
     /// When a connection was made last.
     [[nodiscard]] instant last_connected() const { return last_connected_; }
@@ -89,6 +87,9 @@
 
     void note_failure();
     void end_cut();
+    /// A server that is not known to fail, in order to know whether this host reaches any. Counts
+    /// it as tried.
+    std::optional<server_id> next_check();
     [[nodiscard]] std::size_t servers_to_fail() const;
     /// Servers that failed since the last answer.
     [[nodiscard]] std::size_t unanswered() const;
--- a/src/plugins/entry/reach_task.cpp
+++ b/src/plugins/entry/reach_task.cpp
@@ -5,6 +5,7 @@
 #include "quincewing/net/connect_check.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <memory>
 
 namespace quincewing {
@@ -18,10 +19,11 @@
 constexpr std::size_t max_probes = 1;
 // A shorter cut is not told to others.
 constexpr millis settle_time{300};
-// A host that connected to a server so long ago reaches the service.
-constexpr seconds proof_age{1};
-// The term does not wait longer for a host to find out what it reaches.
-constexpr seconds max_proof_wait{1};
+// Servers of a service that a host connects to before it takes the term.
+constexpr std::size_t sample_size = 6;
+// After this time a host takes the term whatever it reaches: the grants of the last coordinator
+// last longer.
+constexpr seconds max_proof_wait{2};
 constexpr seconds question_interval{1};
 // A host that was better placed counts as such for longer than it takes to ask again.
 constexpr seconds better_placed_time{3};
@@ -33,7 +35,8 @@
 reach_task::reach_task(host_context context, peers_task& peers, server_connections& connections)
     : context_(std::move(context)), peers_(peers), connections_(connections),
       hosts_(data_centre_id{context_.settings.data_centre},
-             static_cast<std::uint32_t>(stable_hash(context_.self.value)))
+             static_cast<std::uint32_t>(stable_hash(context_.self.value))),
+      random_(static_cast<std::uint32_t>(stable_hash(context_.self.value)))
 {
 }
 
@@ -175,33 +178,33 @@
 // ---- probes
 
 // The end of a cut is found by connections of this host's own, not by requests.
-void reach_task::probe(instant now, const service_id& service, service_reach& it)
+void reach_task::probe(instant now, service_reach& it)
 {
-    const bool needs_proof = unproven(now, service, it);
-    const auto limit = needs_proof || it.servers.suspicious(now) ? max_checks : max_probes;
+    const auto limit = it.servers.suspicious(now) ? max_checks : max_probes;
     while (it.probes < limit) {
-        auto due = it.servers.next_probe(now);
-        if (!due && needs_proof) {
-            due = it.servers.next_check();
-        }
+        const auto due = it.servers.next_probe(now);
         const auto& servers = context_.view.servers();
         const auto found = due ? servers.find(*due) : servers.end();
         if (found == servers.end()) {
             return;
         }
-        ++it.probes;
         start_probe(now, found->second);
     }
 }
 
-void reach_task::start_probe(instant now, const backend_server& server)
+void reach_task::start_probe(instant now, const backend_server& server, std::uint64_t candidacy)
 {
-    const auto on_checked = [this, server, now](connect_result result) {
+    ++services_.at(server.service).probes;
+    const auto on_checked = [this, server, now, candidacy](connect_result result) {
         const auto found = services_.find(server.service);
-        if (found != services_.end() && found->second.probes > 0) {
-            --found->second.probes;
+        if (found == services_.end()) {
+            return;
         }
-        if (result == connect_result::accepted) {
+        auto& it = found->second;
+        it.probes -= it.probes > 0 ? 1 : 0;
+        const bool reached = result == connect_result::accepted;
+        it.sample.reached += reached && candidacy != 0 && it.sample.candidacy == candidacy ? 1 : 0;
+        if (reached) {
             on_connected(server);
         } else {
             on_connect_failed(server, now);
@@ -219,9 +222,12 @@
         if (role == coordinator_role::coordinator) {
             log_coordinator_reach(now);
         }
+        if (role == coordinator_role::candidate) {
+            start_samples(now);
+        }
     }
     for (auto& [service, it] : services_) {
-        probe(now, service, it);
+        probe(now, it);
     }
     note_cuts(now);
     if (unreachable_owners().empty()) {
@@ -236,21 +242,21 @@
 
 void reach_task::note_cuts(instant now)
 {
-    unreached_services settled;
+    unreached_services cuts;
     for (auto& [service, it] : services_) {
         const bool cut = it.servers.cut_off();
         if (cut != it.cut_since.has_value()) {
             log_event("cut_off", {{"from", service.value}, {"state", cut ? "begins" : "ends"}});
             it.cut_since = cut ? std::optional{now} : std::nullopt;
         }
-        if (it.cut_since && now - *it.cut_since > settle_time) {
-            settled.insert(service);
+        if (settled(now, it)) {
+            cuts.insert(service);
         }
     }
-    if (settled == told_) {
+    if (cuts == told_) {
         return;
     }
-    told_ = std::move(settled);
+    told_ = std::move(cuts);
     for (const auto& host : peers_.connected_hosts()) {
         tell(host);
     }
@@ -258,29 +264,51 @@
 
 // ---- the term
 
+bool reach_task::settled(instant now, const service_reach& it)
+{
+    return it.cut_since && now - *it.cut_since > settle_time;
+}
+
 unreached_services reach_task::settled_cuts(instant now) const
 {
     unreached_services out;
     for (const auto& [service, it] : services_) {
-        if (context_.view.keyed(service) && it.cut_since && now - *it.cut_since > settle_time) {
+        if (context_.view.keyed(service) && settled(now, it)) {
             out.insert(service);
         }
     }
     return out;
 }
 
-bool reach_task::unproven(instant now, const service_id& service, const service_reach& it) const
+// One server says little: those that have just started may be reached while the others are not.
+void reach_task::start_samples(instant now)
 {
-    const bool settled = it.cut_since && now - *it.cut_since > settle_time;
-    return role_ == coordinator_role::candidate && now - role_since_ < max_proof_wait &&
-           context_.view.keyed(service) && !settled &&
-           now - it.servers.last_connected() > proof_age;
+    ++candidacies_;
+    for (auto& [service, it] : services_) {
+        if (!context_.view.keyed(service)) {
+            continue;
+        }
+        std::vector<backend_server> servers;
+        const auto all = context_.view.servers_of(service);
+        std::sample(all.begin(), all.end(), std::back_inserter(servers), sample_size, random_);
+        it.sample = {.candidacy = candidacies_, .size = servers.size()};
+        for (const auto& server : servers) {
+            start_probe(now, server, candidacies_);
+        }
+    }
 }
 
+// A cut that the others know of is weighed against theirs.
 bool reach_task::unproven(instant now) const
 {
-    return std::any_of(services_.begin(), services_.end(),
-                       [&](const auto& it) { return unproven(now, it.first, it.second); });
+    if (role_ != coordinator_role::candidate || now - role_since_ >= max_proof_wait) {
+        return false;
+    }
+    return std::any_of(services_.begin(), services_.end(), [&](const auto& entry) {
+        const auto& it = entry.second;
+        return it.sample.candidacy == candidacies_ && !settled(now, it) &&
+               2 * it.sample.reached < it.sample.size;
+    });
 }
 
 bool reach_task::should_stand_aside(instant now) const
--- a/src/plugins/entry/reach_task.hpp
+++ b/src/plugins/entry/reach_task.hpp
@@ -12,6 +12,7 @@
 
 #include <map>
 #include <optional>
+#include <random>
 #include <set>
 #include <vector>
 
@@ -68,8 +69,17 @@
     void tick(instant now, coordinator_role role);
 
 private:
+    /// A sample of the service's servers, connected to before this host takes the term.
+    struct reach_sample
+    {
+        /// Number of the candidacy; 0: there was none.
+        std::uint64_t candidacy{};
+        std::size_t size{};
+        std::size_t reached{};
+    };
     struct service_reach
     {
+        reach_sample sample;
         server_reachability servers;
         /// Connections that are being tried without a request.
         std::size_t probes{};
@@ -78,17 +88,20 @@
 
     [[nodiscard]] const service_reach* find(const service_id& service) const;
     [[nodiscard]] bool reachable(const backend_server& server) const;
-    void probe(instant now, const service_id& service, service_reach& it);
-    void start_probe(instant now, const backend_server& server);
+    void probe(instant now, service_reach& it);
+    /// candidacy: of the sample that it is part of; 0: of none.
+    void start_probe(instant now, const backend_server& server, std::uint64_t candidacy = 0);
+    /// Begins to find out whether this host reaches enough servers to take the term.
+    void start_samples(instant now);
     /// Tells the other hosts of cuts that began or ended.
     void note_cuts(instant now);
     void tell(const host_id& to);
     /// Services with keys of which this host reaches no server, for some time now.
     [[nodiscard]] unreached_services settled_cuts(instant now) const;
-    /// This host may take the term soon, and has connected to no server of a service with keys.
+    [[nodiscard]] static bool settled(instant now, const service_reach& it);
+    /// This host may take the term soon, and has not reached half of the sample of a service with
+    /// keys.
     [[nodiscard]] bool unproven(instant now) const;
-    [[nodiscard]] bool unproven(instant now, const service_id& service,
-                                const service_reach& it) const;
     /// What is known of this host's ways when it becomes the coordinator.
     void log_coordinator_reach(instant now) const;
     /// Servers of keyed services that this host does not reach.
@@ -105,6 +118,8 @@
     unreached_services told_;
     coordinator_role role_{coordinator_role::none};
     instant role_since_{};
+    std::uint64_t candidacies_{};
+    std::minstd_rand random_;
     /// Since when this host has not reached some owners of keys.
     std::optional<instant> owners_unreachable_since_;
     instant next_question_{};
