--- a/include/quincewing/http/call_pool.hpp
+++ b/include/quincewing/http/call_pool.hpp
@@ -61,6 +61,7 @@
 
     void remove(const pooled_connection& it);
     static bool may_carry(const pooled_connection& it, const http_request& request);
+    static void end_expired(std::deque<pending_call>& pending);
     void start_pending(const std::string& address);
     void start(pooled_connection& it, pending_call call);
     void finish(pooled_connection& it, const http_answer& answer, bool keep);
--- a/src/libs/http/call_pool.cpp
+++ b/src/libs/http/call_pool.cpp
@@ -69,9 +69,29 @@
            (request.newest_connection == 0 || it.number <= request.newest_connection);
 }
 
+// A call that has waited for a connection until its time was over is not sent.
+void call_pool::end_expired(std::deque<pending_call>& pending)
+{
+    const auto now = monotonic_now();
+    std::deque<pending_call> kept;
+    std::vector<pending_call> expired;
+    for (auto& it : pending) {
+        if (now > it.deadline) {
+            expired.push_back(std::move(it));
+        } else {
+            kept.push_back(std::move(it));
+        }
+    }
+    pending = std::move(kept);
+    for (const auto& it : expired) {
+        it.done({.sent = false});
+    }
+}
+
 void call_pool::start_pending(const std::string& address)
 {
     auto& state = addresses_[address];
+    end_expired(state.pending);
     std::deque<pending_call> kept;
     while (!state.pending.empty()) {
         auto call = std::move(state.pending.front());
@@ -205,11 +225,7 @@
             }
             return expired;
         });
-        while (!state.pending.empty() && now > state.pending.front().deadline) {
-            auto call = std::move(state.pending.front());
-            state.pending.pop_front();
-            call.done({.sent = false});
-        }
+        end_expired(state.pending);
     }
     std::erase_if(addresses_, [](const auto& it) {
         return it.second.connections.empty() && it.second.pending.empty();
