Who takes a term after one that was given up early waits for earlier grants in full

Test short-term, listed as red: a host that takes the term after one that was given up at once granted other owners' keys after 11.25 s, though the host before both may have granted until 13.5 s (OWNER). Cause: an orderly end was taken to speak for all coordinators before it. Who gives up while grants of earlier ones may be in force says so in the table (given_up_early), and the next coordinator waits as after a silent one.

--- a/include/quincewing/assignment/assignment_table.hpp
+++ b/include/quincewing/assignment/assignment_table.hpp
@@ -94,6 +94,8 @@
     store_era era;
     /// Grants that the store's copy knows nothing of may still be in force.
     bool unsettled{};
+    /// The last coordinator gave its term up while grants of earlier ones may have been in force.
+    bool given_up_early{};
 
     bool operator==(const assignment_table&) const = default;
     /// The range that contains the key; nullptr if the key was never assigned.
@@ -112,6 +114,7 @@
         f(ranges);
         f(era);
         f(unsettled);
+        f(given_up_early);
     }
 };
 
--- a/src/libs/assignment/coordinator.cpp
+++ b/src/libs/assignment/coordinator.cpp
@@ -205,7 +205,7 @@
     calls_.clear();
     // The previous coordinator may act for as long as its last read allows, and its last grants are
     // valid for their full time after that.
-    const bool clean_stop = after_clean_stop_ && !table_.unsettled;
+    const bool clean_stop = after_clean_stop_ && !table_.unsettled && !table_.given_up_early;
     const bool wait = options_.wait_after_new_term && !clean_stop;
     const auto previous_acts = wait ? options_.read_validity : duration{0};
     inherited_grants_end_ = now + previous_acts + options_.grant_timeout +
--- a/src/libs/assignment/coordinator_term.cpp
+++ b/src/libs/assignment/coordinator_term.cpp
@@ -103,6 +103,7 @@
     auto next = table_;
     clear_released_owners(next);
     next.coordinator = {};
+    next.given_up_early = now <= inherited_grants_end_;
     start_append(now, std::move(next));
 }
 
--- a/src/libs/assignment/table_change.cpp
+++ b/src/libs/assignment/table_change.cpp
@@ -39,7 +39,8 @@
                 .coordinator = to.coordinator,
                 .last_fence = to.last_fence,
                 .era = to.era,
-                .unsettled = to.unsettled};
+                .unsettled = to.unsettled,
+                .given_up_early = to.given_up_early};
     std::map<range_id, const assigned_range*> before;
     for (const auto& range : from.ranges) {
         before[id_of(range)] = &range;
