--- a/src/libs/dispatch/relay_hosts.cpp
+++ b/src/libs/dispatch/relay_hosts.cpp
@@ -90,7 +90,8 @@
     const auto* second = tried.empty() ? &ways.far : &ways.near;
     for (const bool may_have_failed : {false, true}) {
         for (const auto* hosts : {first, second}) {
-            if (const auto it = choose_from(now, *hosts, service, tried, may_have_failed)) {
+            auto it = choose_from(now, *hosts, service, tried, may_have_failed);
+            if (it) {
                 return it;
             }
         }
