A host that has just started keeps what others told it of their ways

A host that is cut off tells it when its link to another host is made. The other one forgot that when its own link back was made later, and drew the first as a way (by reading; unit test red before). What was told is kept apart from links, and forgotten when the link is lost.

--- a/include/quincewing/dispatch/relay_hosts.hpp
+++ b/include/quincewing/dispatch/relay_hosts.hpp
@@ -24,11 +24,12 @@
 public:
     relay_hosts(data_centre_id own, std::uint32_t seed) : own_(std::move(own)), random_(seed) {}
 
+    /// A link to the host was made, and lost.
     void add(const host_id& host, const data_centre_id& data_centre);
     void remove(const host_id& host);
     /// The host stops: no request goes by way of it.
     void set_leaving(const host_id& host);
-    /// What the host told last.
+    /// What the host told, which may be before the link to it is made.
     void set_unreached(const host_id& host, unreached_services services);
     /// The host did not reach a server of the service. It is passed over for a time, as long as
     /// there are others.
@@ -47,11 +48,6 @@
     [[nodiscard]] std::size_t cut_hosts() const;
 
 private:
-    struct host_state
-    {
-        data_centre_id data_centre;
-        unreached_services unreached;
-    };
     /// Hosts that reach a service, in this host's data centre and elsewhere.
     struct ways
     {
@@ -69,7 +65,11 @@
 
     data_centre_id own_;
     std::minstd_rand random_;
-    std::map<host_id, host_state> hosts_;
+    [[nodiscard]] const unreached_services& unreached_by(const host_id& host) const;
+
+    std::map<host_id, data_centre_id> hosts_;
+    /// Told by hosts to which this one may have no link yet.
+    std::map<host_id, unreached_services> unreached_;
     /// Those that stop may link anew before they end.
     std::set<host_id> leaving_;
     /// Kept ready, as a host that is cut off asks for each request. Empty after a change.
--- a/src/libs/dispatch/relay_hosts.cpp
+++ b/src/libs/dispatch/relay_hosts.cpp
@@ -13,13 +13,14 @@
 
 void relay_hosts::add(const host_id& host, const data_centre_id& data_centre)
 {
-    hosts_[host] = {.data_centre = data_centre, .unreached = {}};
+    hosts_[host] = data_centre;
     ways_.clear();
 }
 
 void relay_hosts::remove(const host_id& host)
 {
     hosts_.erase(host);
+    unreached_.erase(host);
     std::erase_if(failed_at_, [&](const auto& it) { return it.first.first == host; });
     ways_.clear();
 }
@@ -32,11 +33,15 @@
 
 void relay_hosts::set_unreached(const host_id& host, unreached_services services)
 {
-    const auto found = hosts_.find(host);
-    if (found != hosts_.end()) {
-        found->second.unreached = std::move(services);
-        ways_.clear();
-    }
+    unreached_[host] = std::move(services);
+    ways_.clear();
+}
+
+const unreached_services& relay_hosts::unreached_by(const host_id& host) const
+{
+    static const unreached_services none;
+    const auto found = unreached_.find(host);
+    return found == unreached_.end() ? none : found->second;
 }
 
 void relay_hosts::on_failed(instant now, const host_id& host, const service_id& service)
@@ -52,9 +57,9 @@
     if (!inserted) {
         return found->second;
     }
-    for (const auto& [host, it] : hosts_) {
-        if (!leaving_.contains(host) && !it.unreached.contains(service)) {
-            (it.data_centre == own_ ? found->second.near : found->second.far).push_back(host);
+    for (const auto& [host, data_centre] : hosts_) {
+        if (!leaving_.contains(host) && !unreached_by(host).contains(service)) {
+            (data_centre == own_ ? found->second.near : found->second.far).push_back(host);
         }
     }
     return found->second;
@@ -102,11 +107,11 @@
 std::optional<std::size_t> relay_hosts::fewest_unreached(const std::set<service_id>& services) const
 {
     std::optional<std::size_t> out;
-    for (const auto& [host, it] : hosts_) {
+    for (const auto& [host, data_centre] : hosts_) {
         if (leaving_.contains(host)) {
             continue;
         }
-        const auto& unreached = it.unreached;
+        const auto& unreached = unreached_by(host);
         const auto n = std::count_if(services.begin(), services.end(),
                                      [&](const auto& id) { return unreached.contains(id); });
         out = std::min(out.value_or(services.size()), static_cast<std::size_t>(n));
@@ -116,14 +121,13 @@
 
 bool relay_hosts::cut(const host_id& host) const
 {
-    const auto found = hosts_.find(host);
-    return found != hosts_.end() && !found->second.unreached.empty();
+    return !unreached_by(host).empty();
 }
 
 std::size_t relay_hosts::cut_hosts() const
 {
-    return static_cast<std::size_t>(std::count_if(
-        hosts_.begin(), hosts_.end(), [](const auto& it) { return !it.second.unreached.empty(); }));
+    return static_cast<std::size_t>(
+        std::count_if(hosts_.begin(), hosts_.end(), [&](const auto& it) { return cut(it.first); }));
 }
 
 } // namespace quincewing
--- a/src/plugins/entry/reach_task.cpp
+++ b/src/plugins/entry/reach_task.cpp
@@ -194,7 +194,11 @@
 
 void reach_task::start_probe(instant now, const backend_server& server, std::uint64_t candidacy)
 {
-    ++services_.at(server.service).probes;
+    const auto of = services_.find(server.service);
+    if (of == services_.end()) {
+        return;
+    }
+    ++of->second.probes;
     const auto on_checked = [this, server, now, candidacy](connect_result result) {
         const auto found = services_.find(server.service);
         if (found == services_.end()) {
--- a/tests/auto/dispatch/relay_hosts_test.cpp
+++ b/tests/auto/dispatch/relay_hosts_test.cpp
@@ -59,6 +59,20 @@
     CHECK(choices(it, start, boats).empty());
 }
 
+// Guards against a host that has just started and takes hosts that are cut off for a way.
+TEST_CASE("relay hosts: what a host told before the link to it was made counts")
+{
+    relay_hosts it{here, 1};
+    it.set_unreached(host_id{"near-1"}, {boats});
+    it.add(host_id{"near-1"}, here);
+    it.add(host_id{"near-2"}, here);
+    CHECK(choices(it, start, boats) == std::set{host_id{"near-2"}});
+    // It may have reached servers again meanwhile.
+    it.remove(host_id{"near-1"});
+    it.add(host_id{"near-1"}, here);
+    CHECK(choices(it, start, boats).size() == 2);
+}
+
 // Guards against requests that go by way of a host at which the last ones failed.
 TEST_CASE("relay hosts: a host at which a request failed is passed over while there are others")
 {
