Own mode: a connection on which a server refused a request is not used again

Responses of the own mode bear no ids, so nothing tells the two apart; a connection that has refused is closed now. Refusals are rare there: the host grants the slots.

--- a/src/plugins/backends/backend_pool.cpp
+++ b/src/plugins/backends/backend_pool.cpp
@@ -133,6 +133,11 @@
     const auto result = from.result();
     const bool other_runs = duplicate_of(from) != nullptr;
     from.current() = {};
+    if (result.shed) {
+        // Responses bear no ids: if the server wrote the refusal once more, the next request on the
+        // connection would take it for its own.
+        drop(from);
+    }
     if (from.aborted) {
         ++counts_.late_answers;
         return;
