Review: a success without a signature is handed to the client

Cause: a success without `Response-Seal` is passed over only if it has neither a length nor chunks.

Nothing of the product is changed.

--- a/review/standins/caller.hpp
+++ b/review/standins/caller.hpp
@@ -17,6 +17,8 @@
     std::string id;
     /// 0: the connection ended without an answer.
     int status{};
+    /// The answer has the endpoint's signature.
+    bool has_signature{};
     /// Requests that the connection had carried before.
     int earlier{};
     long long sent_at{};
--- a/review/standins/endpoint.cpp
+++ b/review/standins/endpoint.cpp
@@ -24,6 +24,7 @@
 constexpr int http_misdirected = 421;
 constexpr int http_unavailable = 503;
 constexpr int http_gateway_timeout = 504;
+constexpr std::uint64_t answers_per_garbled = 50;
 constexpr char spoiled_byte = '\xff';
 
 volatile std::sig_atomic_t drain_requested = 0;
@@ -94,8 +95,10 @@
 {
     http_stream stream{fd};
     while (const auto request = stream.read()) {
-        const auto out = answer(*request);
-        ++answers_;
+        auto out = answer(*request);
+        if (++answers_ % answers_per_garbled == 0 && options_.garbles) {
+            garble(out);
+        }
         if (!stream.write(out)) {
             return;
         }
@@ -126,6 +129,19 @@
             .hold_ms = number("holdMs")};
 }
 
+void endpoint::garble(std::string& answer)
+{
+    std::vector<std::size_t> names;
+    const auto head_end = answer.find("\r\n\r\n");
+    for (auto at = answer.find("\r\n"); at < head_end; at = answer.find("\r\n", at + 2)) {
+        names.push_back(at + 2);
+    }
+    const auto spoiled = names.at(answers_ / answers_per_garbled % names.size());
+    ++answer[spoiled];
+    const std::lock_guard lock{mutex_};
+    note("spoils " + answer.substr(spoiled, answer.find("\r\n", spoiled) - spoiled));
+}
+
 std::string endpoint::grant(const http_message& request)
 {
     const auto it = call_of(request.body);
@@ -220,7 +236,7 @@
 
 } // namespace review
 
-// Arguments: ADDRESS ID SERVICE STORE JOURNAL [unsharded] [spoils].
+// Arguments: ADDRESS ID SERVICE STORE JOURNAL [unsharded] [spoils] [garbles].
 int main(int argc, char** argv)
 {
     constexpr int least_arguments = 6;
@@ -237,6 +253,7 @@
                          .store = argv[4],
                          .journal = argv[5],
                          .sharded = !flags.contains("unsharded"),
-                         .spoils_answer = flags.contains("spoils")}};
+                         .spoils_answer = flags.contains("spoils"),
+                         .garbles = flags.contains("garbles")}};
     return it.serve() ? 0 : cannot_listen;
 }
--- a/review/standins/endpoint.hpp
+++ b/review/standins/endpoint.hpp
@@ -26,6 +26,8 @@
     bool sharded{true};
     /// Spoils one byte of the answer to its first release.
     bool spoils_answer{};
+    /// Spoils one byte of each fiftieth answer: in the name of a header, of each in turn.
+    bool garbles{};
 };
 
 /// An endpoint of the users' platform: a process with slots that registers itself and, if its
@@ -62,6 +64,7 @@
     [[nodiscard]] bool holds(std::size_t key) const;
     [[nodiscard]] std::string refuse(int status, const std::string& id) const;
     static key_call call_of(const std::string& body);
+    void garble(std::string& answer);
     void note(const std::string& line);
 
     endpoint_options options_;
