Review: requests behind a large answer that breaks off are lost

Cause: requests behind an answer are started while it has not begun, and an answer is held back until it is whole only up to 256 KiB. When a larger one breaks off, nothing can be sent after it.

Done: a script in which one endpoint of three breaks each fiftieth answer off, under clients that send further requests behind the first. Nothing of the product is changed.

--- a/review/standins/endpoint.cpp
+++ b/review/standins/endpoint.cpp
@@ -25,6 +25,7 @@
 constexpr int http_unavailable = 503;
 constexpr int http_gateway_timeout = 504;
 constexpr std::uint64_t answers_per_garbled = 50;
+constexpr std::size_t part_broken_off = 10;
 constexpr char spoiled_byte = '\xff';
 
 volatile std::sig_atomic_t drain_requested = 0;
@@ -96,9 +97,14 @@
     http_stream stream{fd};
     while (const auto request = stream.read()) {
         auto out = answer(*request);
-        if (++answers_ % answers_per_garbled == 0 && options_.garbles) {
+        const bool spoiled = ++answers_ % answers_per_garbled == 0;
+        if (spoiled && options_.garbles) {
             garble(out);
         }
+        if (spoiled && options_.breaks_off) {
+            stream.write(out.substr(0, out.size() - out.size() / part_broken_off));
+            return;
+        }
         if (!stream.write(out)) {
             return;
         }
@@ -222,11 +228,14 @@
     running_.erase(running);
     changed_.notify_all();
     const bool in_time = now_ms() < deadline;
+    const auto bytes = std::strtoul(query_value(request.target(), "bytes").c_str(), nullptr, 10);
+    auto body = id;
+    body.resize(std::max(body.size(), bytes), 'x');
     return format_answer(in_time ? http_ok : http_gateway_timeout,
                          "Request-Id: " + id + "\r\nResponse-Seal: " + options_.id + "." + id +
                              "\r\nInstance-Load: " + std::to_string(running_.size()) + "," +
                              std::to_string(waiting_) + "," + std::to_string(slots) + "\r\n",
-                         in_time ? id : "");
+                         in_time ? body : "");
 }
 
 void endpoint::note(const std::string& line)
@@ -236,7 +245,8 @@
 
 } // namespace review
 
-// Arguments: ADDRESS ID SERVICE STORE JOURNAL [unsharded] [spoils] [garbles].
+// Arguments: ADDRESS ID SERVICE STORE JOURNAL [unsharded] [spoils] [garbles]
+// [breaks-off].
 int main(int argc, char** argv)
 {
     constexpr int least_arguments = 6;
@@ -254,6 +264,7 @@
                          .journal = argv[5],
                          .sharded = !flags.contains("unsharded"),
                          .spoils_answer = flags.contains("spoils"),
-                         .garbles = flags.contains("garbles")}};
+                         .garbles = flags.contains("garbles"),
+                         .breaks_off = flags.contains("breaks-off")}};
     return it.serve() ? 0 : cannot_listen;
 }
--- a/review/standins/endpoint.hpp
+++ b/review/standins/endpoint.hpp
@@ -28,6 +28,8 @@
     bool spoils_answer{};
     /// Spoils one byte of each fiftieth answer: in the name of a header, of each in turn.
     bool garbles{};
+    /// Breaks each fiftieth answer off, near its end.
+    bool breaks_off{};
 };
 
 /// An endpoint of the users' platform: a process with slots that registers itself and, if its
