Entry: a success without its server's signature is no answer, whatever its framing

Cause: is_unproven_success asked for the signature only where an answer had neither a length nor chunks. These show where an answer ends, not whose it is.

Change: a 2xx without the signature, or with an empty one, ends its request at the head, with the new loss "unproven". A request that may be repeated is sent once more within the budget; one that must run at most once gets 502 at once. The connection is closed, the server counts as having failed the request.

Tests: "unproven answer: *", ten forms of such an answer, directly and by way of another host. They replace "entry cut response: a success without a length and a signature is none" and the case of it in "entry relay", which had this tenth form only and asked for less (any 502; "closed").

--- a/include/quincewing/http/client_connection.hpp
+++ b/include/quincewing/http/client_connection.hpp
@@ -94,6 +94,7 @@
     bool busy_{};
     bool sent_{};
     bool skipping_{};
+    bool rejected_{};
     /// The response that is being read is an interim one (1xx).
     bool interim_{};
     std::size_t requests_{};
--- a/include/quincewing/http/message_head.hpp
+++ b/include/quincewing/http/message_head.hpp
@@ -26,8 +26,6 @@
     bool chunked{};
     /// Value of Content-Length, if present.
     std::optional<std::uint64_t> length;
-    /// The body has neither a length nor chunks: it ends with the connection. Responses only.
-    bool ends_with_stream{};
 };
 
 /// Whether the bytes up to and including the empty line are a head that all parsers interpret
--- a/include/quincewing/http/server_channel.hpp
+++ b/include/quincewing/http/server_channel.hpp
@@ -24,7 +24,9 @@
     /// may_send returned false, so that no byte of the request was sent.
     withdrawn,
     /// The entry host that the request went by way of, or the link to it, was lost.
-    host_lost
+    host_lost,
+    /// The server answered the request, but the answer lacks what shows that it is the server's.
+    unproven
 };
 
 const char* to_string(connection_loss it);
@@ -34,7 +36,9 @@
 {
     accept,
     /// It belongs to another request: discard it and wait for the next response.
-    skip
+    skip,
+    /// It is the response to the request, but can't be passed on: the request ends with unproven.
+    reject
 };
 
 struct server_channel_hooks
--- a/src/libs/http/client_connection.cpp
+++ b/src/libs/http/client_connection.cpp
@@ -55,6 +55,8 @@
         return "withdrawn";
     case connection_loss::host_lost:
         return "host_lost";
+    case connection_loss::unproven:
+        return "unproven";
     }
     return "closed";
 }
@@ -64,7 +66,9 @@
       reader_({.kind = message_kind::response, .max_head = options_.max_head},
               {.on_head =
                    [this](message_head& head) {
-                       skipping_ = on_response_head(head) == head_action::skip;
+                       const auto action = on_response_head(head);
+                       skipping_ = action != head_action::accept;
+                       rejected_ = action == head_action::reject;
                        return !response_has_body_;
                    },
                .on_body =
@@ -153,6 +157,7 @@
     busy_ = true;
     sent_ = false;
     response_has_body_ = response_has_body;
+    rejected_ = false;
     skipped_ = 0;
     body_bytes_ = 0;
     body_limit_.reset();
@@ -224,7 +229,6 @@
     if (interim_) {
         return head_action::skip;
     }
-    head.ends_with_stream = head.ends_with_stream && response_has_body_;
     reusable_ = head.keep_alive;
     keep_alive_timeout_ = parse_keep_alive_timeout(head.headers);
     return hooks_.on_head ? hooks_.on_head(head) : head_action::accept;
@@ -252,6 +256,10 @@
             return;
         }
         const auto result = reader_.read(in);
+        if (bev_ != nullptr && rejected_) {
+            fail(connection_loss::unproven);
+            return;
+        }
         if (bev_ != nullptr && body_limit_ && body_bytes_ > *body_limit_) {
             fail(connection_loss::too_long);
             return;
--- a/src/libs/http/message_reader.cpp
+++ b/src/libs/http/message_reader.cpp
@@ -21,14 +21,6 @@
     return n;
 }
 
-bool may_have_body(int status)
-{
-    constexpr int first_final = 200;
-    constexpr int no_content = 204;
-    constexpr int not_modified = 304;
-    return status >= first_final && status != no_content && status != not_modified;
-}
-
 bool has_bare_line_feed(std::string_view buf)
 {
     for (auto at = buf.find('\n'); at != std::string_view::npos; at = buf.find('\n', at + 1)) {
@@ -89,8 +81,6 @@
         if ((parser.flags & F_CONTENTLENGTH) != 0) {
             head.length = parser.content_length;
         }
-        head.ends_with_stream = options.kind == message_kind::response && !head.chunked &&
-                                !head.length && may_have_body(head.status);
         head.keep_alive = http_should_keep_alive(&parser) != 0;
         in_body = true;
         return hooks.on_head(head) ? 1 : 0;
--- a/src/plugins/entry/relayed_request.cpp
+++ b/src/plugins/entry/relayed_request.cpp
@@ -80,8 +80,15 @@
     out.status = head.status;
     out.headers = head.headers;
     out.length = head.length;
-    if (hooks_.on_head(out) == head_action::skip) {
+    switch (hooks_.on_head(out)) {
+    case head_action::accept:
+        return;
+    case head_action::skip:
         lose(connection_loss::malformed);
+        return;
+    case head_action::reject:
+        lose(connection_loss::unproven);
+        return;
     }
 }
 
--- a/src/plugins/entry/request_flow_server.cpp
+++ b/src/plugins/entry/request_flow_server.cpp
@@ -85,8 +85,10 @@
         return head_action::skip;
     }
     if (is_unproven_success(head, context_.platform.names.response_signature)) {
-        log_event("answer_unproven", {{"request", id_}, {"server", server_.id.value}});
-        return head_action::skip;
+        log_event("answer_unproven",
+                  {{"request", id_}, {"status", head.status}, {"server", server_.id.value}});
+        services_.on_notice(server_, {}, context_.platform.decode_notice(head));
+        return head_action::reject;
     }
     response_ = std::move(head);
     // Another process at the address answers 421 too.
@@ -290,7 +292,10 @@
     if (sent && (how == connection_loss::closed || how == connection_loss::reset)) {
         note_broken(took);
     }
-    leave_server(cut ? attempt_outcome::host_cut_off : attempt_outcome::connection_lost, false);
+    const auto outcome = how == connection_loss::unproven ? attempt_outcome::failed
+                         : cut                            ? attempt_outcome::host_cut_off
+                                                          : attempt_outcome::connection_lost;
+    leave_server(outcome, false);
     if (exchange_->disconnected()) {
         finish(0, to_string(exchange_->disconnect_cause()));
         return;
--- a/src/plugins/entry/request_properties.cpp
+++ b/src/plugins/entry/request_properties.cpp
@@ -49,12 +49,16 @@
                            .credentials = header("Authorization")});
 }
 
+// A length or a last chunk shows where an answer ends, not whose it is: only the signature does.
 bool is_unproven_success(const message_head& response, const std::string& signature_header)
 {
     const bool success =
         response.status >= http_status::ok && response.status < http_status::redirection;
-    return success && response.ends_with_stream &&
-           find_header(response.headers, signature_header) == nullptr;
+    if (!success || signature_header.empty()) {
+        return false;
+    }
+    const auto* signature = find_header(response.headers, signature_header);
+    return signature == nullptr || signature->empty();
 }
 
 } // namespace quincewing
--- a/src/plugins/entry/request_properties.hpp
+++ b/src/plugins/entry/request_properties.hpp
@@ -18,8 +18,8 @@
 std::string host_without_port(const std::string& host);
 /// Hash of what repeats of the request have in common with it.
 std::uint64_t fingerprint_of(const caller_exchange& it);
-/// Whether the response claims a success, and neither a length, a last chunk nor the server's
-/// signature shows that it is more than the part that was sent before the connection broke.
+/// Whether the response claims a success without the server's signature, so that it may be a part
+/// of an answer or another server's. A platform whose signature_header is empty has no signatures.
 bool is_unproven_success(const message_head& response, const std::string& signature_header);
 
 } // namespace quincewing
--- a/src/plugins/entry/request_relay.cpp
+++ b/src/plugins/entry/request_relay.cpp
@@ -167,8 +167,12 @@
         return head_action::skip;
     }
     if (is_unproven_success(head, context_.platform.names.response_signature)) {
-        log_event("answer_unproven", {{"server", it.server.id.value}});
-        return head_action::skip;
+        log_event("answer_unproven", {{"request", it.id()},
+                                      {"status", head.status},
+                                      {"server", it.server.id.value},
+                                      {"for_host", it.request->peer.value}});
+        hooks_.on_notice(it.server, {}, notice);
+        return head_action::reject;
     }
     const bool certainly_its_own = head.status != http_status::misdirected;
     hooks_.on_notice(it.server, certainly_its_own ? it.sent_at : instant{}, notice);
