Operators: what is no text, or of another type, ends no host and no command

Operators saw: the host ends by SIGABRT upon /explain with bytes that are no UTF-8, upon /explain of a request whose idempotency key is none, and upon /plan whose "operator" is a number. Callers' requests at that host end with it.

The command "plan" ended the same way for a word that is no UTF-8. By reading: /status reads the number of shards of an owner that is no longer listed.

Change: pages write such bytes as U+FFFD; an operator that is no text counts as none; "plan" says what is wrong and exits with 2; a missing number is 0.

--- a/src/app/operator_commands.cpp
+++ b/src/app/operator_commands.cpp
@@ -51,7 +51,13 @@
         }
         intent[word.substr(0, equals)] = word.substr(equals + 1);
     }
-    return ask(line, "/plan", intent.dump());
+    std::string body;
+    try {
+        body = intent.dump();
+    } catch (const nlohmann::json::type_error&) {
+        return usage("a word of the intent is not UTF-8");
+    }
+    return ask(line, "/plan", body);
 }
 
 int confirm(const command_line& line)
--- a/src/plugins/operators/operators_task.cpp
+++ b/src/plugins/operators/operators_task.cpp
@@ -31,9 +31,12 @@
     evhtp_send_reply(request, status);
 }
 
+// Names of requests and keys are callers' bytes and need not be UTF-8.
 void reply(evhtp_request_t* request, evhtp_res status, const json& body)
 {
-    reply(request, status, body.dump(2) + "\n", "application/json");
+    constexpr int indent = 2;
+    reply(request, status, body.dump(indent, ' ', false, json::error_handler_t::replace) + "\n",
+          "application/json");
 }
 
 std::string body_of(evhtp_request_t* request)
@@ -149,7 +152,7 @@
     char buf[20];
     std::snprintf(buf, sizeof buf, "p%016llx", static_cast<unsigned long long>(id));
     made->record.plan = plan_id{buf};
-    made->record.operator_name = body.value("operator", "");
+    made->record.operator_name = operator_from_json(body);
     reply(request, EVHTP_RES_OK, to_json(*made, host.core().state()));
 }
 
--- a/src/plugins/operators/plan_json.cpp
+++ b/src/plugins/operators/plan_json.cpp
@@ -76,6 +76,12 @@
 
 } // namespace
 
+std::string operator_from_json(const json& it)
+{
+    const auto found = it.find("operator");
+    return found != it.end() && found->is_string() ? found->get<std::string>() : "";
+}
+
 tl::expected<intent, std::string> intent_from_json(const json& it)
 {
     try {
@@ -124,7 +130,7 @@
 {
     try {
         plan_confirmed out{.plan = plan_id{text(it, "plan")},
-                           .operator_name = it.value("operator", ""),
+                           .operator_name = operator_from_json(it),
                            .expected_version = it.at("expected_version").get<std::uint64_t>()};
         for (const auto& server : it.at("add")) {
             out.add.push_back(server_from(server));
--- a/src/plugins/operators/status_json.cpp
+++ b/src/plugins/operators/status_json.cpp
@@ -100,8 +100,9 @@
         out["servers"][id.value] = std::move(item);
     }
     for (const auto& [shard, entry] : state.shards()) {
+        // The owner may be a server that is no longer listed.
         auto& n = out["servers"][entry.owner.value]["shards"];
-        n = n.get<int>() + 1;
+        n = n.is_number() ? n.get<int>() + 1 : 1;
     }
     for (const auto& [server, agent] : core.agents()) {
         if (agent.pair().view().has(core.options().self)) {
