--- a/src/libs/http/client_connection.cpp
+++ b/src/libs/http/client_connection.cpp
@@ -7,7 +7,7 @@
 
 #include <algorithm>
 #include <cerrno>
-#include <cstdlib>
+#include <charconv>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <netinet/in.h>
@@ -27,11 +27,16 @@
 duration parse_keep_alive_timeout(const header_list& headers)
 {
     const auto* value = find_header(headers, "Keep-Alive");
-    const auto at = value == nullptr ? std::string::npos : value->find("timeout=");
+    constexpr std::string_view name = "timeout=";
+    const auto at = value == nullptr ? std::string::npos : value->find(name);
     if (at == std::string::npos) {
         return duration{0};
     }
-    return seconds{std::strtol(value->c_str() + at + 8, nullptr, 10)};
+    constexpr std::int64_t longest_s = 24 * 60 * 60;
+    std::int64_t timeout_s = 0;
+    const std::string_view text = std::string_view{*value}.substr(at + name.size());
+    std::from_chars(text.data(), text.data() + text.size(), timeout_s);
+    return seconds{std::clamp<std::int64_t>(timeout_s, 0, longest_s)};
 }
 
 } // namespace
--- a/src/plugins/callers/request_reader.cpp
+++ b/src/plugins/callers/request_reader.cpp
@@ -65,7 +65,7 @@
         return tl::make_unexpected(
             request_error{400, "Quincewing-Deadline-Ms: expected milliseconds, 1 or more"});
     }
-    return std::min<duration>(millis{n}, service.max_deadline);
+    return n < service.max_deadline / millis{1} ? duration{millis{n}} : service.max_deadline;
 }
 
 request_class class_of(const service_settings& service, const inbound_request& it)
