Event loop: an exception ends what was under way, not the process

Change: event_loop::guard catches it, tells on_failure (callback_failed in the log) and lets the caller end what was under way as unknown: a timer's turn, the response of a server, the bytes of another host, a caller's connection, an operator's page.

Tests: "guard: *".

--- a/include/quincewing/http/client_connection.hpp
+++ b/include/quincewing/http/client_connection.hpp
@@ -67,6 +67,8 @@
 
 private:
     void connect();
+    /// Calls a step in the handling of an event. If it throws, the request ends.
+    void guard(const std::function<void()>& step);
     void on_event(short what);
     void on_input();
     void on_readable();
--- a/include/quincewing/net/event_loop.hpp
+++ b/include/quincewing/net/event_loop.hpp
@@ -3,6 +3,7 @@
 #include "quincewing/base/time.hpp"
 
 #include <event2/event.h>
+#include <exception>
 #include <functional>
 #include <memory>
 
@@ -22,6 +23,22 @@
     void stop();
     [[nodiscard]] event_base* base() const { return base_; }
 
+    /// Calls a function. An exception that it throws ends the call, not the process, and is told to
+    /// on_failure. Returns false if it threw. where: what was going on, for the log.
+    template <class Function>
+    bool guard(const char* where, Function&& call)
+    {
+        try {
+            call();
+            return true;
+        } catch (const std::exception& e) {
+            on_failure(where, e.what());
+            return false;
+        }
+    }
+    /// Called for each exception that guard() has caught; writes to the standard error unless set.
+    std::function<void(const char* where, const char* error)> on_failure;
+
 private:
     event_base* base_;
 };
--- a/src/app/serve.cpp
+++ b/src/app/serve.cpp
@@ -123,6 +123,9 @@
     }
     std::signal(SIGPIPE, SIG_IGN);
     event_loop loop;
+    loop.on_failure = [](const char* where, const char* error) {
+        LOG(ERROR) << "change=callback_failed about=" << where << " error=" << error;
+    };
     std::unique_ptr<graceful_stop> stop;
     // A signal that comes before the loop runs is handled when it does.
     stop_signals signals{loop, [&](const stop_signal& it) { stop->on_signal(it); }};
--- a/src/app/serve_entry.cpp
+++ b/src/app/serve_entry.cpp
@@ -89,6 +89,9 @@
 {
     std::signal(SIGPIPE, SIG_IGN);
     event_loop loop;
+    loop.on_failure = [](const char* where, const char* error) {
+        log_event("callback_failed", {{"in", where}, {"error", error}});
+    };
     std::unique_ptr<entry_host> host;
     // A signal that comes before the loop runs is handled when it does.
     stop_signals stop{loop, [&](const stop_signal& it) { host->stop(it, [&] { loop.stop(); }); }};
--- a/src/libs/http/client_connection.cpp
+++ b/src/libs/http/client_connection.cpp
@@ -100,10 +100,15 @@
     const auto fd = options_.from.empty() ? -1 : open_socket_from(options_.from);
     bev_ = bufferevent_socket_new(loop_.base(), fd, BEV_OPT_CLOSE_ON_FREE);
     bufferevent_setcb(
-        bev_, [](bufferevent*, void* arg) { static_cast<client_connection*>(arg)->on_input(); },
+        bev_,
+        [](bufferevent*, void* arg) {
+            auto& self = *static_cast<client_connection*>(arg);
+            self.guard([&] { self.on_input(); });
+        },
         nullptr,
         [](bufferevent*, short what, void* arg) {
-            static_cast<client_connection*>(arg)->on_event(what);
+            auto& self = *static_cast<client_connection*>(arg);
+            self.guard([&] { self.on_event(what); });
         },
         this);
     connect_timer_.once(options_.connect_timeout);
@@ -113,6 +118,15 @@
     }
 }
 
+// A hook that throws has not used the response: for the request it is lost.
+void client_connection::guard(const std::function<void()>& step)
+{
+    constexpr const char* where = "response of a server";
+    if (!loop_.guard(where, step) && bev_ != nullptr) {
+        loop_.guard(where, [this] { fail(connection_loss::malformed); });
+    }
+}
+
 void client_connection::on_event(short what)
 {
     if ((what & BEV_EVENT_CONNECTED) != 0) {
--- a/src/libs/net/event_loop.cpp
+++ b/src/libs/net/event_loop.cpp
@@ -1,6 +1,7 @@
 #include "quincewing/net/event_loop.hpp"
 
 #include <atomic>
+#include <cstdio>
 #include <ctime>
 #include <event2/event_struct.h>
 
@@ -12,7 +13,13 @@
 
 } // namespace
 
-event_loop::event_loop() : base_(event_base_new()) {}
+event_loop::event_loop()
+    : on_failure([](const char* where, const char* error) {
+          std::fprintf(stderr, "callback_failed in=\"%s\" error=\"%s\"\n", where, error);
+      }),
+      base_(event_base_new())
+{
+}
 
 event_loop::~event_loop()
 {
@@ -52,15 +59,17 @@
 
 struct timer::state
 {
+    event_loop& loop;
     event it{};
     std::function<void()> fire;
     duration period{};
     bool soon_pending{};
 };
 
-timer::timer(event_loop& loop, std::function<void()> fire) : state_(std::make_unique<state>())
+// An exception must not pass through the library's functions, which would be left half done.
+timer::timer(event_loop& loop, std::function<void()> fire)
+    : state_(std::make_unique<state>(state{.loop = loop, .fire = std::move(fire)}))
 {
-    state_->fire = std::move(fire);
     const auto call = [](evutil_socket_t, short, void* arg) {
         auto& self = *static_cast<state*>(arg);
         self.soon_pending = false;
@@ -70,7 +79,7 @@
         }
         // The function may replace itself.
         const auto fire = self.fire;
-        fire();
+        self.loop.guard("timer", fire);
     };
     event_assign(&state_->it, loop.base(), -1, 0, call, state_.get());
 }
--- a/src/plugins/entry/caller_connection.cpp
+++ b/src/plugins/entry/caller_connection.cpp
@@ -39,7 +39,13 @@
     const int on = 1;
     setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
     bufferevent_setcb(
-        bev_, [](bufferevent*, void* arg) { static_cast<caller_connection*>(arg)->on_readable(); },
+        bev_,
+        [](bufferevent*, void* arg) {
+            auto& self = *static_cast<caller_connection*>(arg);
+            if (!self.loop_.guard("request of a caller", [&] { self.on_readable(); })) {
+                self.loop_.guard("end of a caller's connection", [&] { self.close(); });
+            }
+        },
         [](bufferevent*, void* arg) {
             auto& self = *static_cast<caller_connection*>(arg);
             self.idle_since_ = monotonic_now();
--- a/src/plugins/operators/operators_task.cpp
+++ b/src/plugins/operators/operators_task.cpp
@@ -84,7 +84,10 @@
     void serve(const char* path)
     {
         const auto call = [](evhtp_request_t* request, void* arg) {
-            (static_cast<state*>(arg)->*handler)(request);
+            auto& self = *static_cast<state*>(arg);
+            if (!self.loop.guard("operator page", [&] { (self.*handler)(request); })) {
+                evhtp_send_reply(request, EVHTP_RES_SERVERR);
+            }
         };
         evhtp_set_cb(server, path, call, this);
     }
--- a/src/plugins/peers/h2_connection.cpp
+++ b/src/plugins/peers/h2_connection.cpp
@@ -149,7 +149,7 @@
 };
 
 h2_connection::h2_connection(event_loop& loop, bool server, bufferevent* bev, hooks callbacks)
-    : hooks_(std::move(callbacks)), bev_(bev), flush_timer_(loop, [this] { flush(); })
+    : loop_(loop), hooks_(std::move(callbacks)), bev_(bev), flush_timer_(loop, [this] { flush(); })
 {
     nghttp2_session_callbacks* calls = nullptr;
     nghttp2_session_callbacks_new(&calls);
@@ -176,7 +176,12 @@
     nghttp2_submit_settings(session_, NGHTTP2_FLAG_NONE, settings, std::size(settings));
     nghttp2_session_set_local_window_size(session_, NGHTTP2_FLAG_NONE, 0, connection_window);
 
-    const auto on_read = [](bufferevent*, void* arg) { static_cast<h2_connection*>(arg)->feed(); };
+    const auto on_read = [](bufferevent*, void* arg) {
+        auto& self = *static_cast<h2_connection*>(arg);
+        if (!self.loop_.guard("bytes of a host", [&] { self.feed(); })) {
+            self.loop_.guard("end of a link", [&] { self.fail(0); });
+        }
+    };
     const auto on_write = [](bufferevent*, void* arg) {
         static_cast<h2_connection*>(arg)->flush();
     };
--- a/src/plugins/peers/h2_connection.hpp
+++ b/src/plugins/peers/h2_connection.hpp
@@ -92,6 +92,7 @@
     friend struct h2_callbacks;
     void feed();
 
+    event_loop& loop_;
     hooks hooks_;
     bufferevent* bev_;
     nghttp2_session* session_{};
