HTTP: bytes that are passed over have an end

Here a late answer of such a size, interim answers, chunks and empty lines were not kept, but read on until the deadline of the request behind them.

Cause: only the number of passed-over answers was bounded, not their bytes; empty lines before a message and interim answers had no bound.

Change: 16 MiB of late answers, as many bytes of interim answers and of empty lines as a head may have; then the connection ends as malformed. A body beyond its limit is not handed on any more, not even its last piece.

--- a/include/quincewing/http/client_connection.hpp
+++ b/include/quincewing/http/client_connection.hpp
@@ -19,7 +19,7 @@
     std::string address;
     /// The ip that the connection leaves from; empty: the system's choice.
     std::string from;
-    /// Largest response head in bytes.
+    /// Largest response head in bytes, and largest sum of the interim ones before it.
     std::size_t max_head{64UL * 1024};
     duration connect_timeout{seconds{1}};
     /// The connection is dropped when sent bytes stay unacknowledged for longer
@@ -58,6 +58,8 @@
     /// The connection breaks when the server has acknowledged nothing for so long although bytes
     /// are on their way to it.
     void set_unacknowledged_timeout(duration it);
+    /// Bytes have come that the loop has not read yet.
+    [[nodiscard]] bool unread() const;
     /// Reads bytes that have come and that the loop has not read yet. False: there are none.
     bool read_waiting();
     /// When the last response was complete.
@@ -79,6 +81,8 @@
     void fail(connection_loss how);
     void close(bool reset);
     head_action on_response_head(message_head& head);
+    [[nodiscard]] bool too_many_skipped() const;
+    [[nodiscard]] bool body_too_long() const { return body_limit_ && body_bytes_ > *body_limit_; }
 
     event_loop& loop_;
     client_connection_options options_;
@@ -97,11 +101,14 @@
     bool sent_{};
     bool skipping_{};
     bool rejected_{};
+    std::size_t requests_{};
     /// The response that is being read is an interim one (1xx).
     bool interim_{};
-    std::size_t requests_{};
-    /// Responses to other requests before the one to the request, and bytes of its body.
+    std::size_t interim_bytes_{};
+    /// Responses to other requests before the one to the request.
     std::size_t skipped_{};
+    std::size_t skipped_bytes_{};
+    /// Bytes of the body of the response to the request.
     std::size_t body_bytes_{};
     std::optional<std::size_t> body_limit_;
     bool reusable_{true};
--- a/src/libs/http/client_connection.cpp
+++ b/src/libs/http/client_connection.cpp
@@ -18,8 +18,9 @@
 
 namespace {
 
-// Late responses to earlier requests, before the response to the request.
+// Late responses to earlier requests, before the response to the request, and their bytes.
 constexpr std::size_t max_skipped = 32;
+constexpr std::size_t max_skipped_bytes = 16UL * 1024 * 1024;
 constexpr int first_final_status = 200;
 constexpr std::size_t bytes_per_read_of_library = 4096;
 constexpr std::size_t max_bytes_per_read = 64UL * 1024;
@@ -78,8 +79,12 @@
                    },
                .on_body =
                    [this](const char* buf, std::size_t n) {
+                       if (skipping_) {
+                           return;
+                       }
                        body_bytes_ += n;
-                       if (!skipping_ && hooks_.on_body) {
+                       // A longer body ends the response once this piece is read.
+                       if (hooks_.on_body && !body_too_long()) {
                            hooks_.on_body(buf, n);
                        }
                    }}),
@@ -178,6 +183,8 @@
     response_has_body_ = response_has_body;
     rejected_ = false;
     skipped_ = 0;
+    skipped_bytes_ = 0;
+    interim_bytes_ = 0;
     body_bytes_ = 0;
     body_limit_.reset();
     pending_ = head;
@@ -200,6 +207,11 @@
     pending_.clear();
 }
 
+bool client_connection::unread() const
+{
+    return bev_ != nullptr && unread_bytes(bufferevent_getfd(bev_)) > 0;
+}
+
 bool client_connection::read_waiting()
 {
     const bool reading =
@@ -274,15 +286,23 @@
             fail(connection_loss::malformed);
             return;
         }
+        const auto waiting = evbuffer_get_length(in);
         const auto result = reader_.read(in);
+        if (bev_ != nullptr && skipping_) {
+            (interim_ ? interim_bytes_ : skipped_bytes_) += waiting - evbuffer_get_length(in);
+        }
         if (bev_ != nullptr && rejected_) {
             fail(connection_loss::unproven);
             return;
         }
-        if (bev_ != nullptr && body_limit_ && body_bytes_ > *body_limit_) {
+        if (bev_ != nullptr && body_too_long()) {
             fail(connection_loss::too_long);
             return;
         }
+        if (bev_ != nullptr && too_many_skipped()) {
+            fail(connection_loss::malformed);
+            return;
+        }
         if (bev_ == nullptr || result == read_result::need_more) {
             return;
         }
@@ -295,13 +315,19 @@
             return;
         }
         skipped_ += interim_ ? 0 : 1;
-        if (skipped_ > max_skipped) {
+        if (too_many_skipped()) {
             fail(connection_loss::malformed);
             return;
         }
     }
 }
 
+bool client_connection::too_many_skipped() const
+{
+    return skipped_ > max_skipped || skipped_bytes_ > max_skipped_bytes ||
+           interim_bytes_ > options_.max_head;
+}
+
 void client_connection::complete_response()
 {
     busy_ = false;
--- a/src/libs/http/message_reader.cpp
+++ b/src/libs/http/message_reader.cpp
@@ -46,6 +46,8 @@
     bool in_body{};
     bool in_message{};
     bool complete{};
+    /// Before the message.
+    std::size_t empty_line_bytes{};
 
     void begin_message()
     {
@@ -59,6 +61,7 @@
         in_body = false;
         in_message = false;
         complete = false;
+        empty_line_bytes = 0;
     }
     void flush_header()
     {
@@ -152,7 +155,9 @@
             scanned};
         if (const auto skipped = leading_empty_lines(buf); skipped > 0) {
             evbuffer_drain(from, skipped);
-            return read(from);
+            state_->empty_line_bytes += skipped;
+            return state_->empty_line_bytes > state_->options.max_head ? read_result::head_too_long
+                                                                       : read(from);
         }
         state_->in_message = true;
         const auto end = buf.find(head_end);
