Control calls: an answer is bounded by size, and by time from the call

Operators of systems like ours: a server sent bytes without end, the machine that had called it kept them all and ran out of memory.

Cause: http_call left all limits to evhttp, which has none unless told, reads the line of a chunk whole, and counts the time from the last byte. A pool's call kept 16 MiB and read the rest on until its time was over.

Change: http_call runs on client_connection, as the pool does, and moves to libs/http: 16 KiB of head, max_answer of body (1 MiB; 48 MiB for a page of the log, 16 MiB for commands), the time from the call to the end. One byte more ends the call without an answer. What throws in handling an answer ends the call as one that may have been carried out.

--- a/include/quincewing/http/call_pool.hpp
+++ b/include/quincewing/http/call_pool.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "quincewing/http/client_connection.hpp"
-#include "quincewing/net/http_call.hpp"
+#include "quincewing/http/http_call.hpp"
 
 #include <cstddef>
 #include <deque>
@@ -19,8 +19,9 @@
     std::size_t max_connections{4};
     /// Connections idle for longer are closed.
     duration max_idle{seconds{8}};
-    /// Limit of a response body in bytes; received pieces that would exceed it are dropped.
-    std::size_t max_response_size{16UL * 1024 * 1024};
+    /// Largest response head and body in bytes; a longer one ends the call without an answer.
+    std::size_t max_response_head{16UL * 1024};
+    std::size_t max_response_size{64UL * 1024};
     /// The ip that connections leave from; empty: the system's choice.
     std::string from;
 };
--- a/include/quincewing/net/http_call.hpp
+++ b/include/quincewing/http/http_call.hpp
@@ -2,6 +2,7 @@
 
 #include "quincewing/base/time.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -21,7 +22,10 @@
     /// "Host" is the address unless it is given here.
     std::map<std::string, std::string> headers;
     std::string body;
+    /// From the call to the end of its answer, however its bytes come.
     duration timeout{seconds{2}};
+    /// Largest body of an answer in bytes; a longer one ends the call without an answer.
+    std::size_t max_answer{1024UL * 1024};
     /// Of a pool's connections only those that are not newer may carry the call; 0: any.
     std::uint64_t newest_connection{};
     /// Of a pool only a connection that carried no other call may carry the call.
--- a/include/quincewing/platform/platform_task.hpp
+++ b/include/quincewing/platform/platform_task.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "quincewing/base/time.hpp"
+#include "quincewing/http/http_call.hpp"
 #include "quincewing/net/event_loop.hpp"
-#include "quincewing/net/http_call.hpp"
 #include "quincewing/platform/log_page.hpp"
 #include "quincewing/state/log_bootstrap.hpp"
 #include "quincewing/state/record.hpp"
--- a/src/app/operator_commands.cpp
+++ b/src/app/operator_commands.cpp
@@ -1,6 +1,6 @@
 #include "operator_commands.hpp"
 
-#include "quincewing/net/http_call.hpp"
+#include "quincewing/http/http_call.hpp"
 
 #include <fstream>
 #include <iostream>
@@ -15,6 +15,8 @@
 constexpr int bad_usage = 2;
 constexpr int no_answer = 3;
 constexpr seconds command_timeout{15};
+// As large as a plan that a host takes back.
+constexpr std::size_t max_answer = 16UL * 1024 * 1024;
 
 int ask(const command_line& line, const std::string& path, const std::string& body)
 {
@@ -22,7 +24,8 @@
                                             .address = line.at,
                                             .path = path,
                                             .body = body,
-                                            .timeout = command_timeout});
+                                            .timeout = command_timeout,
+                                            .max_answer = max_answer});
     if (answer.status == 0) {
         std::cerr << "quincewing: no answer from " << line.at << "\n";
         return no_answer;
--- a/src/libs/http/call_pool.cpp
+++ b/src/libs/http/call_pool.cpp
@@ -1,5 +1,7 @@
 #include "quincewing/http/call_pool.hpp"
 
+#include "call_support.hpp"
+
 #include <algorithm>
 
 namespace quincewing {
@@ -8,21 +10,6 @@
 
 constexpr millis cleanup_period{500};
 
-std::string request_head(const http_request& it)
-{
-    std::string out = it.method + " " + it.path + " HTTP/1.1\r\nHost: " + it.address + "\r\n";
-    for (const auto& [name, value] : it.headers) {
-        out += name;
-        out += ": ";
-        out += value;
-        out += "\r\n";
-    }
-    if (!it.body.empty() || it.method != "GET") {
-        out += "Content-Length: " + std::to_string(it.body.size()) + "\r\n";
-    }
-    return out + "\r\n";
-}
-
 } // namespace
 
 struct call_pool::pooled_connection
@@ -129,8 +116,10 @@
     const auto left = std::max<duration>(call.deadline - monotonic_now(), millis{1});
     if (!it.connection) {
         it.connection = std::make_unique<client_connection>(
-            loop_, client_connection_options{
-                       .address = it.address, .from = options_.from, .connect_timeout = left});
+            loop_, client_connection_options{.address = it.address,
+                                             .from = options_.from,
+                                             .max_head = options_.max_response_head,
+                                             .connect_timeout = left});
         it.connection->set_on_idle_close([&it] { it.closed = true; });
     }
     auto* pooled = &it;
@@ -141,21 +130,18 @@
     });
     it.timeout.once(left);
     it.connection->send(
-        request_head(call.request), call.request.body, true,
+        call_head(call.request), call.request.body, true,
         {.on_head =
-             [pooled](message_head& head) {
+             [pooled, limit = options_.max_response_size](message_head& head) {
+                 pooled->connection->set_body_limit(limit);
                  pooled->answer.status = head.status;
                  for (auto& [name, value] : head.headers) {
                      pooled->answer.headers[name] = value;
                  }
                  return head_action::accept;
              },
-         .on_body =
-             [this, pooled](const char* buf, std::size_t n) {
-                 if (pooled->answer.body.size() + n <= options_.max_response_size) {
-                     pooled->answer.body.append(buf, n);
-                 }
-             },
+         .on_body = [pooled](const char* buf,
+                             std::size_t n) { pooled->answer.body.append(buf, n); },
          .on_end = [this, pooled](bool reusable) { finish(*pooled, pooled->answer, reusable); },
          .on_lost =
              [this, pooled](connection_loss how) {
@@ -177,9 +163,10 @@
         remove(it);
     }
     start_timer_.soon();
-    done(answer);
+    const auto number = it.number;
+    tell_answer(loop_, done, answer);
     if (!keep && on_closed_) {
-        on_closed_(it.number);
+        on_closed_(number);
     }
 }
 
--- a/src/plugins/backends/backend_pool.cpp
+++ b/src/plugins/backends/backend_pool.cpp
@@ -2,7 +2,7 @@
 
 #include "backend_connection.hpp"
 
-#include "quincewing/net/http_call.hpp"
+#include "quincewing/http/http_call.hpp"
 
 #include <algorithm>
 #include <cstdlib>
--- a/src/plugins/platform/platform_task.cpp
+++ b/src/plugins/platform/platform_task.cpp
@@ -13,6 +13,8 @@
 constexpr millis append_pause{50};
 constexpr millis retry_hosts_after{300};
 constexpr int page_records = 500;
+// Room for a page of snapshot chunks and a large plan.
+constexpr std::size_t max_page_bytes = 48UL * 1024 * 1024;
 
 } // namespace
 
@@ -39,7 +41,8 @@
                          .path = "/streams/" + options_.stream + "?from=" + std::to_string(from) +
                                  "&max=" + std::to_string(page_records) +
                                  "&wait_ms=" + std::to_string(bootstrap_ ? 0 : wait),
-                         .timeout = options_.timeout + options_.poll};
+                         .timeout = options_.timeout + options_.poll,
+                         .max_answer = max_page_bytes};
     const auto started = monotonic_now();
     http_call(loop_, request, [this, started](const http_answer& it) { on_page(started, it); });
 }
--- a/tests/auto/net/guard_test.cpp
+++ b/tests/auto/net/guard_test.cpp
@@ -1,6 +1,8 @@
 #include "raw_server.hpp"
 
+#include "quincewing/http/call_pool.hpp"
 #include "quincewing/http/client_connection.hpp"
+#include "quincewing/http/http_call.hpp"
 #include "quincewing/net/event_loop.hpp"
 
 #include <doctest/doctest.h>
@@ -79,3 +81,31 @@
     }
     CHECK(it.errors == std::vector<std::string>{"odd head", "odd body"});
 }
+
+// Guards against a call whose caller waits for ever, as its answer threw.
+TEST_CASE("guard: a call whose answer can't be handled ends as one that may have been carried out")
+{
+    guarded_run it;
+    call_pool pool{it.loop, {}};
+    std::vector<http_answer> answers;
+    const auto handle = [&](const http_answer& answer) {
+        answers.push_back(answer);
+        if (answer.status != 0) {
+            throw std::runtime_error{"odd answer"};
+        }
+    };
+    pool.call({.address = it.server.address()}, handle);
+    http_call(it.loop, {.address = it.server.address()}, handle);
+    it.run(millis{300});
+    REQUIRE(answers.size() == 4);
+    CHECK(it.errors.size() == 2);
+    for (const auto& answer : answers) {
+        CHECK((answer.status == 200 || (answer.status == 0 && answer.sent)));
+    }
+    // The pool serves the next call.
+    int next = 0;
+    pool.call({.address = it.server.address()},
+              [&](const http_answer& answer) { next = answer.status; });
+    it.run(millis{200});
+    CHECK(next == 200);
+}
--- a/tests/failures/crash_test.cpp
+++ b/tests/failures/crash_test.cpp
@@ -1,6 +1,6 @@
 #include "process_fleet.hpp"
 
-#include "quincewing/net/http_call.hpp"
+#include "quincewing/http/http_call.hpp"
 
 #include <csignal>
 #include <doctest/doctest.h>
--- a/tests/failures/process_fleet.hpp
+++ b/tests/failures/process_fleet.hpp
@@ -2,7 +2,7 @@
 
 #include "port_block.hpp"
 
-#include "quincewing/net/http_call.hpp"
+#include "quincewing/http/http_call.hpp"
 
 #include <map>
 #include <nlohmann/json.hpp>
