Entry: the readiness, metrics and status pages bound what they read

Cause: evhttp's servers have no limit on heads and bodies unless told, and read the line of a chunk whole.

Change: 16 KiB of head and of body; what waits unread stops at twice that.

--- a/src/plugins/entry/status_server.cpp
+++ b/src/plugins/entry/status_server.cpp
@@ -5,6 +5,7 @@
 #include "quincewing/net/endpoint.hpp"
 
 #include <event2/buffer.h>
+#include <event2/bufferevent.h>
 #include <event2/http.h>
 
 namespace quincewing {
@@ -12,6 +13,8 @@
 namespace {
 
 constexpr int http_ok = 200;
+// Questions have few headers and no body.
+constexpr std::size_t max_request_bytes = 16UL * 1024;
 
 void reply_text(evhttp_request* request, int status, const std::string& text)
 {
@@ -44,6 +47,17 @@
 {
     const auto endpoint = parse_endpoint(address);
     auto* out = evhttp_new(context_.loop.base());
+    evhttp_set_max_headers_size(out, max_request_bytes);
+    evhttp_set_max_body_size(out, max_request_bytes);
+    evhttp_set_bevcb(
+        out,
+        [](event_base* base, void*) {
+            auto* it = bufferevent_socket_new(base, -1, 0);
+            // The library reads a line of a chunk whole, however long it is.
+            bufferevent_setwatermark(it, EV_READ, 0, 2 * max_request_bytes);
+            return it;
+        },
+        nullptr);
     if (evhttp_bind_socket(out, endpoint.ip.c_str(), endpoint.port) != 0) {
         evhttp_free(out);
         return nullptr;
