Own mode: a caller's and an operator's head without end is closed

Cause: libevhtp has no limit on the headers of a request, nor on empty lines before it.

Change: evhtp_head_limit counts what comes until a head is complete and closes the connection beyond 64 KiB; callers' and operators' ports use it. A path that the operators' port does not know is answered 404 by a function of its own, as the library's leaves the count of the next head off.

Test: "endless request: *" (ctest endless-request), five heads at both ports, and 30 proper requests with bodies on one connection.

--- a/src/plugins/callers/callers_task.cpp
+++ b/src/plugins/callers/callers_task.cpp
@@ -3,6 +3,7 @@
 #include "caller_request.hpp"
 
 #include "quincewing/net/endpoint.hpp"
+#include "quincewing/net/evhtp_head_limit.hpp"
 #include "quincewing/net/evhtp_hook.hpp"
 
 #include <algorithm>
@@ -17,13 +18,17 @@
 namespace {
 
 constexpr int listen_backlog = 1024;
+constexpr std::size_t max_head_bytes = 64UL * 1024;
 
 } // namespace
 
 struct callers_task::state
 {
+    state(event_loop& l, host_task& h) : loop(l), host(h), heads(l, max_head_bytes) {}
+
     event_loop& loop;
     host_task& host;
+    evhtp_head_limit heads;
     evhtp_t* server{};
     std::set<evhtp_connection_t*> connections;
     bool closed{};
@@ -33,6 +38,7 @@
     static evhtp_res on_headers(evhtp_request_t* request, evhtp_headers_t* headers, void* arg);
     static void on_health(evhtp_request_t* request, void* arg);
     static void on_ready(evhtp_request_t* request, void* arg);
+    static void on_request(evhtp_request_t* request, void* arg);
 };
 
 evhtp_res callers_task::state::on_accept(evhtp_connection_t* connection, void* arg)
@@ -43,6 +49,7 @@
         return EVHTP_RES_ERROR;
     }
     self.connections.insert(connection);
+    self.heads.watch(connection);
     evhtp_connection_set_hook(connection, evhtp_hook_on_connection_fini,
                               as_evhtp_hook(on_connection_fini), arg);
     evhtp_connection_set_hook(connection, evhtp_hook_on_headers, as_evhtp_hook(on_headers), arg);
@@ -51,7 +58,9 @@
 
 evhtp_res callers_task::state::on_connection_fini(evhtp_connection_t* connection, void* arg)
 {
-    static_cast<state*>(arg)->connections.erase(connection);
+    auto& self = *static_cast<state*>(arg);
+    self.heads.forget(connection);
+    self.connections.erase(connection);
     return EVHTP_RES_OK;
 }
 
@@ -59,7 +68,8 @@
 evhtp_res callers_task::state::on_headers(evhtp_request_t* request, evhtp_headers_t* headers,
                                           void* arg)
 {
-    const auto& self = *static_cast<state*>(arg);
+    auto& self = *static_cast<state*>(arg);
+    self.heads.on_headers(evhtp_request_get_connection(request));
     const auto* length = evhtp_header_find(headers, "Content-Length");
     const auto most = self.host.settings().limits.request_body;
     if (length == nullptr || std::strtoull(length, nullptr, 10) <= most) {
@@ -73,21 +83,30 @@
     return EVHTP_RES_ENTOOLARGE;
 }
 
-void callers_task::state::on_health(evhtp_request_t* request, void* /*arg*/)
+void callers_task::state::on_health(evhtp_request_t* request, void* arg)
 {
+    static_cast<state*>(arg)->heads.on_request(evhtp_request_get_connection(request));
     evbuffer_add_printf(request->buffer_out, "ok\n");
     evhtp_send_reply(request, EVHTP_RES_OK);
 }
 
 void callers_task::state::on_ready(evhtp_request_t* request, void* arg)
 {
-    const bool ready = static_cast<state*>(arg)->host.ready();
+    auto& self = *static_cast<state*>(arg);
+    self.heads.on_request(evhtp_request_get_connection(request));
+    const bool ready = self.host.ready();
     evbuffer_add_printf(request->buffer_out, ready ? "ready\n" : "not ready\n");
     evhtp_send_reply(request, ready ? EVHTP_RES_OK : EVHTP_RES_SERVUNAVAIL);
 }
 
+void callers_task::state::on_request(evhtp_request_t* request, void* arg)
+{
+    static_cast<state*>(arg)->heads.on_request(evhtp_request_get_connection(request));
+    caller_request::take(request);
+}
+
 callers_task::callers_task(event_loop& loop, host_task& host)
-    : state_(std::make_unique<state>(state{.loop = loop, .host = host}))
+    : state_(std::make_unique<state>(loop, host))
 {
 }
 
@@ -128,9 +147,7 @@
     evhtp_set_post_accept_cb(server, state::on_accept, state_.get());
     evhtp_set_cb(server, "/health", state::on_health, state_.get());
     evhtp_set_cb(server, "/ready", state::on_ready, state_.get());
-    evhtp_set_gencb(
-        server, [](evhtp_request_t* request, void* /*arg*/) { caller_request::take(request); },
-        nullptr);
+    evhtp_set_gencb(server, state::on_request, state_.get());
     return evhtp_bind_socket(server, at.ip.c_str(), at.port, listen_backlog) == 0;
 }
 
--- a/src/plugins/operators/operators_task.cpp
+++ b/src/plugins/operators/operators_task.cpp
@@ -5,6 +5,7 @@
 
 #include "quincewing/base/hash.hpp"
 #include "quincewing/net/endpoint.hpp"
+#include "quincewing/net/evhtp_head_limit.hpp"
 #include "quincewing/net/evhtp_hook.hpp"
 
 #include <event2/buffer.h>
@@ -19,6 +20,7 @@
 
 constexpr int listen_backlog = 64;
 constexpr std::uint64_t largest_body = 16UL * 1024 * 1024;
+constexpr std::size_t max_head_bytes = 64UL * 1024;
 constexpr millis look_every{20};
 // The same plan is appended again when its fate is not known; the second copy is void.
 constexpr seconds append_again_after{2};
@@ -61,16 +63,23 @@
         bool gone{};
     };
 
-    state(event_loop& l, host_task& h) : loop(l), host(h), look_timer(l, [this] { look(); }) {}
+    state(event_loop& l, host_task& h)
+        : loop(l), host(h), heads(l, max_head_bytes), look_timer(l, [this] { look(); })
+    {
+    }
 
     event_loop& loop;
     host_task& host;
+    evhtp_head_limit heads;
     evhtp_t* server{};
     timer look_timer;
     std::list<waiting> confirmations;
     std::uint64_t plans_made{};
     bool closed{};
 
+    static evhtp_res on_accept(evhtp_connection_t* connection, void* arg);
+    static evhtp_res on_headers(evhtp_request_t* request, evhtp_headers_t* headers, void* arg);
+    static evhtp_res on_connection_fini(evhtp_connection_t* connection, void* arg);
     void status(evhtp_request_t* request);
     void metrics(evhtp_request_t* request);
     void explain(evhtp_request_t* request);
@@ -85,6 +94,7 @@
     {
         const auto call = [](evhtp_request_t* request, void* arg) {
             auto& self = *static_cast<state*>(arg);
+            self.heads.on_request(evhtp_request_get_connection(request));
             if (!self.loop.guard("operator page", [&] { (self.*handler)(request); })) {
                 evhtp_send_reply(request, EVHTP_RES_SERVERR);
             }
@@ -93,6 +103,27 @@
     }
 };
 
+evhtp_res operators_task::state::on_accept(evhtp_connection_t* connection, void* arg)
+{
+    static_cast<state*>(arg)->heads.watch(connection);
+    evhtp_connection_set_hook(connection, evhtp_hook_on_headers, as_evhtp_hook(on_headers), arg);
+    evhtp_connection_set_hook(connection, evhtp_hook_on_connection_fini,
+                              as_evhtp_hook(on_connection_fini), arg);
+    return EVHTP_RES_OK;
+}
+
+evhtp_res operators_task::state::on_headers(evhtp_request_t* request, evhtp_headers_t*, void* arg)
+{
+    static_cast<state*>(arg)->heads.on_headers(evhtp_request_get_connection(request));
+    return EVHTP_RES_OK;
+}
+
+evhtp_res operators_task::state::on_connection_fini(evhtp_connection_t* connection, void* arg)
+{
+    static_cast<state*>(arg)->heads.forget(connection);
+    return EVHTP_RES_OK;
+}
+
 void operators_task::state::status(evhtp_request_t* request)
 {
     reply(request, EVHTP_RES_OK, status_json(host));
@@ -248,11 +279,20 @@
     const auto at = parse_endpoint(state_->host.settings().operators);
     state_->server = evhtp_new(state_->loop.base(), nullptr);
     evhtp_set_max_body_size(state_->server, largest_body);
+    evhtp_set_post_accept_cb(state_->server, state::on_accept, state_.get());
     state_->serve<&state::status>("/status");
     state_->serve<&state::metrics>("/metrics");
     state_->serve<&state::explain>("/explain");
     state_->serve<&state::make>("/plan");
     state_->serve<&state::confirm>("/confirm");
+    evhtp_set_gencb(
+        state_->server,
+        [](evhtp_request_t* request, void* arg) {
+            auto* connection = evhtp_request_get_connection(request);
+            static_cast<state*>(arg)->heads.on_request(connection);
+            evhtp_send_reply(request, EVHTP_RES_NOTFOUND);
+        },
+        state_.get());
     return evhtp_bind_socket(state_->server, at.ip.c_str(), at.port, listen_backlog) == 0;
 }
 
