Coordinator: a rejection confirms no release while its holder is listed

Cause, by reading: a rejected release counted as done as soon as any entry of another service had the holder's address. A holder that is full rejects too, and an entry may come from another writer.

Change: the holder's own entry must be gone.

Test: "coordinator: a rejection beside another service's entry*"; before, the keys are given on at once.

--- a/src/libs/assignment/coordinator_ranges.cpp
+++ b/src/libs/assignment/coordinator_ranges.cpp
@@ -13,8 +13,9 @@
 // A server that accepted the release refuses older fences from then on, and gives a token once its
 // work on the keys has ended: an answer without one may be that of a holder at work, which got an
 // earlier release of the keys. A rejection confirms the end of the holder only if a server of
-// another service, which knows no keys, now has its address. A restart of the holder confirms
-// nothing: a grant may have reached the new process since.
+// another service, which knows no keys, now has its address, and the holder's own entry is gone: a
+// holder that is full rejects too. A restart of the holder confirms nothing: a grant may have
+// reached the new process since.
 bool coordinator::confirms_release(const assigned_range& range, call_outcome outcome,
                                    const std::string& handoff) const
 {
@@ -29,7 +30,10 @@
             return entry.second.address == range.previous_owner.address &&
                    entry.second.service != range.service;
         });
-    return outcome == call_outcome::rejected && other_service;
+    const auto own_entry = servers_.find(range.previous_owner.id);
+    const bool listed =
+        own_entry != servers_.end() && own_entry->second.start == range.previous_owner.start;
+    return outcome == call_outcome::rejected && other_service && !listed;
 }
 
 coordinator::range_state& coordinator::state_of(const assigned_range& range)
--- a/tests/auto/assignment/release_proof_test.cpp
+++ b/tests/auto/assignment/release_proof_test.cpp
@@ -158,3 +158,25 @@
         CHECK(it.held());
     }
 }
+
+// Guards against an odd entry with the address of a holder that is full and rejects the release.
+TEST_CASE(
+    "coordinator: a rejection beside another service's entry confirms only when its own is gone")
+{
+    moving_keys it;
+    REQUIRE(it.release);
+    it.servers[server_id{"x"}] = {.id = server_id{"x"},
+                                  .start = server_start{1},
+                                  .address = "s1",
+                                  .service = service_id{"other"},
+                                  .slots = 2};
+    it.core.set_servers(it.now, it.servers, {keyed_service});
+    it.answer_release(call_outcome::rejected, "");
+    CHECK_FALSE(it.held());
+    it.servers.erase(server_id{"s1"});
+    it.core.set_servers(it.now, it.servers, {keyed_service});
+    it.run(millis{500});
+    REQUIRE(it.release);
+    it.answer_release(call_outcome::rejected, "");
+    CHECK(it.held());
+}
