Own mode: requests to servers are read by evhttp again

Suspected: with an answer that its caller does not read is really held back, and the broken connection of a paused caller is not noticed; evhttp reads on.

--- a/include/quincewing/backends/backend_options.hpp
+++ b/include/quincewing/backends/backend_options.hpp
@@ -16,6 +16,7 @@
     duration fresh{seconds{1}};
     /// A request without an answer for this long has its connection checked.
     duration late{millis{250}};
+    duration connect_timeout{millis{500}};
     /// Longest silence of a server with a request. Longer than any deadline.
     duration response_timeout{seconds{60}};
     /// Time within which a grant, revocation or probe must be answered.
--- a/src/plugins/backends/backend_connection.cpp
+++ b/src/plugins/backends/backend_connection.cpp
@@ -1,52 +1,74 @@
 #include "backend_connection.hpp"
 
+#include "quincewing/net/endpoint.hpp"
+#include "quincewing/net/socket_bytes.hpp"
+
 #include <algorithm>
 #include <event2/buffer.h>
-#include <memory>
+#include <event2/bufferevent.h>
+#include <event2/http_struct.h>
+#include <event2/keyvalq_struct.h>
 #include <strings.h>
 
 namespace quincewing {
 
 namespace {
 
+struct method_name
+{
+    const char* name;
+    evhttp_cmd_type command;
+};
+
+constexpr method_name methods[] = {
+    {"GET", EVHTTP_REQ_GET},     {"POST", EVHTTP_REQ_POST},     {"PUT", EVHTTP_REQ_PUT},
+    {"HEAD", EVHTTP_REQ_HEAD},   {"DELETE", EVHTTP_REQ_DELETE}, {"OPTIONS", EVHTTP_REQ_OPTIONS},
+    {"PATCH", EVHTTP_REQ_PATCH},
+};
+
+evhttp_cmd_type command_of(const std::string& method)
+{
+    const auto* found = std::find_if(std::begin(methods), std::end(methods),
+                                     [&](const auto& it) { return method == it.name; });
+    return found == std::end(methods) ? EVHTTP_REQ_GET : found->command;
+}
+
 // A server says in its protocol that it did not run a request.
 constexpr const char* not_run_header = "Quincewing-Not-Run";
-// Of a refusal only the head is used.
-constexpr std::size_t max_refusal_body = 64UL * 1024;
 
-bool may_have_body(const std::string& method)
+} // namespace
+
+backend_connection::backend_connection(event_loop& loop, backend_pool& pool,
+                                       const std::string& address)
+    : pool_(pool), address_(address)
 {
-    return method == "POST" || method == "PUT" || method == "PATCH";
+    const auto to = parse_endpoint(address);
+    auto* bev = bufferevent_socket_new(loop.base(), -1, BEV_OPT_CLOSE_ON_FREE);
+    connection_ =
+        evhttp_connection_base_bufferevent_new(loop.base(), nullptr, bev, to.ip.c_str(), to.port);
+    // Without it the library breaks the connection off after a time of its own.
+    const auto tv = to_timeval(pool.options_.response_timeout);
+    evhttp_connection_set_timeout_tv(connection_, &tv);
+    evbuffer_add_cb(bufferevent_get_output(bev), on_written, this);
 }
 
-// Bytes that would begin another line.
-bool fits_in_line(const std::string& text)
+backend_connection::~backend_connection()
 {
-    return text.find_first_of(std::string{"\r\n\0", 3}) == std::string::npos;
+    freeing_ = true;
+    evhttp_connection_free(connection_);
 }
 
-void add_line(std::string& head, const std::string& name, const std::string& value)
+bool backend_connection::unread() const
 {
-    if (!fits_in_line(name) || !fits_in_line(value)) {
-        return;
-    }
-    head += name;
-    head += ": ";
-    head += value;
-    head += "\r\n";
+    return unread_bytes(bufferevent_getfd(evhttp_connection_get_bufferevent(connection_))) > 0;
 }
 
-} // namespace
-
-// Requests have their deadlines: neither a slow connection nor a slow server ends them sooner.
-backend_connection::backend_connection(event_loop& loop, backend_pool& pool,
-                                       const std::string& address)
-    : pool_(pool), address_(address),
-      connection_(loop, {.address = address,
-                         .connect_timeout = pool.options_.response_timeout,
-                         .unacknowledged_timeout = pool.options_.response_timeout})
+void backend_connection::on_written(evbuffer* /*buf*/, const evbuffer_cb_info* info, void* arg)
 {
-    connection_.set_on_idle_close([this] { pool_.drop(*this); });
+    auto& self = *static_cast<backend_connection*>(arg);
+    if (info->n_deleted > 0 && !self.freeing_) {
+        self.handed_ = true;
+    }
 }
 
 void backend_connection::send(const backend_pool::waiting& it, instant now)
@@ -54,74 +76,57 @@
     current_ = it;
     result_ = {};
     busy_ = true;
+    handed_ = false;
     head_received_ = false;
     checking = false;
     checked = false;
     sent_at_ = now;
     const auto& request = it.it->request;
-    connection_.send(request_head(now), request.body, request.method != "HEAD",
-                     {.on_head =
-                          [this](message_head& head) {
-                              take_head(head);
-                              return head_action::accept;
-                          },
-                      .on_body = [this](const char* buf, std::size_t n) { take_body(buf, n); },
-                      .on_end = [this](bool) { on_end(); },
-                      .on_lost =
-                          [this](connection_loss how) {
-                              const bool refused =
-                                  result_.verdict == verdict::not_run && head_received_;
-                              if (how == connection_loss::too_long && refused) {
-                                  on_end();
-                              } else {
-                                  on_lost();
-                              }
-                          }});
-}
-
-std::string backend_connection::request_head(instant now) const
-{
-    const auto& request = current_.it->request;
-    std::string out = request.method + " " + request.target + " HTTP/1.1\r\n";
-    add_line(out, "Host", address_);
-    for (const auto& [name, value] : request.headers) {
-        add_line(out, name, value);
+    auto* out = evhttp_request_new(on_done, this);
+    evhttp_request_set_header_cb(out, on_head);
+    evhttp_request_set_chunked_cb(out, on_chunk);
+    auto* headers = evhttp_request_get_output_headers(out);
+    evhttp_add_header(headers, "Host", address_.c_str());
+    for (const auto& [key, value] : request.headers) {
+        evhttp_add_header(headers, key.c_str(), value.c_str());
     }
     const auto left = std::chrono::duration_cast<millis>(request.deadline - now).count();
-    add_line(out, "Quincewing-Deadline-Ms", std::to_string(std::max<long>(left, 1)));
-    if (current_.at.offset > 0) {
-        add_line(out, "Quincewing-Fence", to_string(current_.at));
-        add_line(out, "Quincewing-Shard", std::to_string(current_.it->shard.number));
-    }
-    if (!request.body.empty() || may_have_body(request.method)) {
-        add_line(out, "Content-Length", std::to_string(request.body.size()));
-    }
-    return out + "\r\n";
+    evhttp_add_header(headers, "Quincewing-Deadline-Ms",
+                      std::to_string(std::max<long>(left, 1)).c_str());
+    if (it.at.offset > 0) {
+        evhttp_add_header(headers, "Quincewing-Fence", to_string(it.at).c_str());
+        evhttp_add_header(headers, "Quincewing-Shard", std::to_string(it.it->shard.number).c_str());
+    }
+    evbuffer_add(evhttp_request_get_output_buffer(out), request.body.data(), request.body.size());
+    evhttp_make_request(connection_, out, command_of(request.method), request.target.c_str());
 }
 
-bool backend_connection::overdue(instant now) const
+int backend_connection::on_head(evhttp_request* request, void* arg)
 {
-    return busy_ && now > std::max(sent_at_, current_.it->request.deadline) +
-                              pool_.options_.response_timeout;
+    static_cast<backend_connection*>(arg)->take_head(request);
+    return 0;
 }
 
-void backend_connection::take_head(const message_head& from)
+void backend_connection::take_head(evhttp_request* request)
 {
     head_received_ = true;
     result_.verdict = verdict::ran;
-    response_head head{.status = from.status, .length = from.length};
+    response_head head{.status = evhttp_request_get_response_code(request)};
+    const auto* headers = evhttp_request_get_input_headers(request);
     bool not_run = false;
-    for (const auto& [name, value] : from.headers) {
-        not_run = not_run || strcasecmp(name.c_str(), not_run_header) == 0;
-        if (!is_hop_by_hop_header(name)) {
-            head.headers.emplace_back(name, value);
+    for (auto* it = headers->tqh_first; it != nullptr; it = it->next.tqe_next) {
+        not_run = not_run || strcasecmp(it->key, not_run_header) == 0;
+        if (strcasecmp(it->key, "Content-Length") == 0) {
+            head.length = std::strtoull(it->value, nullptr, 10);
+        }
+        if (!is_hop_by_hop_header(it->key)) {
+            head.headers.emplace_back(it->key, it->value);
         }
     }
     if (not_run) {
         // Told to the caller by the decision that follows, not by the server's own words.
         result_.verdict = verdict::not_run;
         result_.shed = true;
-        connection_.set_body_limit(max_refusal_body);
         return;
     }
     result_.response.status = static_cast<std::uint32_t>(head.status);
@@ -134,59 +139,65 @@
     pool_.on_head(*this);
     auto& it = *current_.it;
     if (it.on_head) {
-        it.resume = [this] { connection_.set_reading(true); };
+        auto* bev = evhttp_connection_get_bufferevent(connection_);
+        it.resume = [bev] { bufferevent_enable(bev, EV_READ); };
         it.on_head(head);
     }
 }
 
-void backend_connection::take_body(const char* buf, std::size_t n)
+void backend_connection::on_chunk(evhttp_request* request, void* arg)
+{
+    static_cast<backend_connection*>(arg)->take_body(request);
+}
+
+void backend_connection::take_body(evhttp_request* request)
 {
+    auto* buf = evhttp_request_get_input_buffer(request);
     if (result_.verdict != verdict::ran || aborted) {
         return;
     }
-    keep(buf, n);
+    keep(buf);
     auto& it = *current_.it;
-    if (!it.on_body) {
-        return;
-    }
-    const std::unique_ptr<evbuffer, decltype(&evbuffer_free)> data{evbuffer_new(), &evbuffer_free};
-    evbuffer_add(data.get(), buf, n);
-    if (!it.on_body(data.get())) {
-        connection_.set_reading(false);
+    if (it.on_body && !it.on_body(buf)) {
+        bufferevent_disable(evhttp_connection_get_bufferevent(connection_), EV_READ);
     }
 }
 
-void backend_connection::keep(const char* buf, std::size_t n)
+void backend_connection::keep(evbuffer* buf)
 {
     auto& response = result_.response;
     if (current_.it->request.idempotency_key.empty() || response.body_dropped) {
         return;
     }
+    const auto n = evbuffer_get_length(buf);
     if (response.body.size() + n > pool_.options_.keep_bytes) {
         response.body.clear();
         response.body_dropped = true;
         return;
     }
-    response.body.append(buf, n);
+    const auto old = response.body.size();
+    response.body.resize(old + n);
+    evbuffer_copyout(buf, response.body.data() + old, n);
 }
 
-void backend_connection::on_end()
+void backend_connection::on_done(evhttp_request* request, void* arg)
 {
-    if (!aborted) {
-        current_.it->resume = nullptr;
+    auto& self = *static_cast<backend_connection*>(arg);
+    if (self.freeing_) {
+        return;
     }
-    busy_ = false;
-    used_ = true;
-    last_answer_ = monotonic_now();
-    pool_.on_answered(*this);
-}
-
-void backend_connection::on_lost()
-{
-    if (!aborted) {
-        current_.it->resume = nullptr;
+    if (!self.aborted) {
+        self.current_.it->resume = nullptr;
+    }
+    const bool whole = request != nullptr && evhttp_request_get_response_code(request) != 0;
+    if (!whole || !self.head_received_) {
+        self.pool_.on_broken(self);
+        return;
     }
-    pool_.on_broken(*this);
+    self.busy_ = false;
+    self.used_ = true;
+    self.last_answer_ = monotonic_now();
+    self.pool_.on_answered(self);
 }
 
 } // namespace quincewing
--- a/src/plugins/backends/backend_connection.hpp
+++ b/src/plugins/backends/backend_connection.hpp
@@ -1,10 +1,14 @@
 #pragma once
 
 #include "quincewing/backends/backend_pool.hpp"
-#include "quincewing/http/client_connection.hpp"
 
+#include <event2/http.h>
+#include <event2/util.h>
 #include <string>
 
+struct evbuffer;
+struct evbuffer_cb_info;
+
 namespace quincewing {
 
 /// One connection to a backend server, with at most one request on it.
@@ -12,22 +16,20 @@
 {
 public:
     backend_connection(event_loop& loop, backend_pool& pool, const std::string& address);
+    ~backend_connection();
     backend_connection(const backend_connection&) = delete;
     backend_connection& operator=(const backend_connection&) = delete;
 
     void send(const backend_pool::waiting& it, instant now);
     [[nodiscard]] bool busy() const { return busy_; }
     [[nodiscard]] bool used() const { return used_; }
-    [[nodiscard]] bool closed() const { return connection_.closed(); }
     [[nodiscard]] instant last_answer() const { return last_answer_; }
     [[nodiscard]] instant sent_at() const { return sent_at_; }
-    /// Bytes of the present request may have reached the server.
-    [[nodiscard]] bool handed() const { return connection_.sent(); }
+    /// Bytes of the present request were handed to the socket.
+    [[nodiscard]] bool handed() const { return handed_; }
     [[nodiscard]] bool head_received() const { return head_received_; }
-    /// The server has had its time for the answer, however its bytes come.
-    [[nodiscard]] bool overdue(instant now) const;
     /// Bytes came on the connection and were not read yet.
-    [[nodiscard]] bool unread() const { return connection_.unread(); }
+    [[nodiscard]] bool unread() const;
     [[nodiscard]] backend_pool::waiting& current() { return current_; }
     [[nodiscard]] const backend_pool::waiting& current() const { return current_; }
     [[nodiscard]] const request_result& result() const { return result_; }
@@ -37,21 +39,24 @@
     bool aborted{};
 
 private:
-    [[nodiscard]] std::string request_head(instant now) const;
-    void take_head(const message_head& from);
-    void take_body(const char* buf, std::size_t n);
-    void keep(const char* buf, std::size_t n);
-    void on_end();
-    void on_lost();
+    static int on_head(evhttp_request* request, void* arg);
+    static void on_chunk(evhttp_request* request, void* arg);
+    static void on_done(evhttp_request* request, void* arg);
+    static void on_written(evbuffer* buf, const evbuffer_cb_info* info, void* arg);
+    void take_head(evhttp_request* request);
+    void take_body(evhttp_request* request);
+    void keep(evbuffer* buf);
 
     backend_pool& pool_;
+    evhttp_connection* connection_;
     std::string address_;
-    client_connection connection_;
     backend_pool::waiting current_;
     request_result result_;
     bool busy_{};
     bool used_{};
+    bool handed_{};
     bool head_received_{};
+    bool freeing_{};
     instant sent_at_{};
     instant last_answer_{};
 };
--- a/src/plugins/backends/backend_pool.cpp
+++ b/src/plugins/backends/backend_pool.cpp
@@ -53,8 +53,8 @@
 {
     backend_connection* best = nullptr;
     for (const auto& it : connections_) {
-        const bool good = !it->busy() && !it->closed() && it->used() &&
-                          (idempotent || now - it->last_answer() <= options_.fresh);
+        const bool good =
+            !it->busy() && it->used() && (idempotent || now - it->last_answer() <= options_.fresh);
         if (good && (best == nullptr || it->last_answer() > best->last_answer())) {
             best = it.get();
         }
@@ -133,9 +133,9 @@
     const auto result = from.result();
     const bool other_runs = duplicate_of(from) != nullptr;
     from.current() = {};
-    // Responses bear no ids: if the server wrote a refusal once more, the next request on the
-    // connection would take it for its own.
-    if (result.shed || from.closed()) {
+    if (result.shed) {
+        // Responses bear no ids: if the server wrote the refusal once more, the next request on the
+        // connection would take it for its own.
         drop(from);
     }
     if (from.aborted) {
@@ -330,12 +330,7 @@
 void backend_pool::sweep(instant now)
 {
     std::vector<backend_connection*> old;
-    std::vector<backend_connection*> overdue;
     for (const auto& it : connections_) {
-        if (it->overdue(now)) {
-            overdue.push_back(it.get());
-            continue;
-        }
         if (!it->busy()) {
             if (now - it->last_answer() > options_.idle) {
                 old.push_back(it.get());
@@ -352,10 +347,6 @@
     for (auto* it : old) {
         drop(*it);
     }
-    for (auto* it : overdue) {
-        it->current().it->resume = nullptr;
-        on_broken(*it);
-    }
 }
 
 } // namespace quincewing
--- a/src/plugins/callers/caller_request.cpp
+++ b/src/plugins/callers/caller_request.cpp
@@ -220,30 +220,22 @@
     if (request->conn != nullptr) {
         evhtp_connection_unset_hook(request->conn, evhtp_hook_on_write);
     }
-    self->leave();
+    if (self->it_) {
+        self->it_->on_head = nullptr;
+        self->it_->on_body = nullptr;
+        self->it_->on_end = nullptr;
+        self->host_.caller_gone(self->it_);
+    }
     delete self;
     return EVHTP_RES_OK;
 }
 
-void caller_request::leave()
-{
-    if (const auto it = std::exchange(it_, nullptr)) {
-        it->on_head = nullptr;
-        it->on_body = nullptr;
-        it->on_end = nullptr;
-        host_.caller_gone(it);
-    }
-}
-
-// The library keeps a broken connection, and its request, for as long as it is paused. What the
-// server sends may be held back then until the caller has read, which it never does: the run would
-// keep its slot.
+// The library keeps a broken connection, and its request, for as long as it is paused.
 void caller_request::on_error(evhtp_request_t* request, evhtp_error_flags /*error*/, void* arg)
 {
     auto* self = static_cast<caller_request*>(arg);
     if (!self->finished_) {
         self->finished_ = true;
-        self->leave();
         evhtp_request_resume(request);
     }
 }
--- a/src/plugins/callers/caller_request.hpp
+++ b/src/plugins/callers/caller_request.hpp
@@ -38,8 +38,6 @@
     void add_header(const char* key, const std::string& value);
     void fail();
     void finish();
-    /// Tells the host that the caller is gone, unless its request has ended.
-    void leave();
     static evhtp_res on_fini(evhtp_request_t* request, void* arg);
     static void on_error(evhtp_request_t* request, evhtp_error_flags error, void* arg);
     static evhtp_res on_write(evhtp_connection_t* connection, void* arg);
