--- a/include/quincewing/http/http_call.hpp
+++ b/include/quincewing/http/http_call.hpp
@@ -19,7 +19,7 @@
     /// "ip:port"
     std::string address;
     std::string path{"/"};
-    /// "Host" is the address unless it is given here.
+    /// "Host" is the address and "Content-Length" the body's, unless they are given here.
     std::map<std::string, std::string> headers;
     std::string body;
     /// From the call to the end of its answer, however its bytes come.
--- a/src/libs/http/call_support.cpp
+++ b/src/libs/http/call_support.cpp
@@ -16,7 +16,8 @@
         out += value;
         out += "\r\n";
     }
-    if (!it.body.empty() || it.method != "GET") {
+    const bool has_length = it.headers.contains("Content-Length");
+    if (!has_length && (!it.body.empty() || it.method != "GET")) {
         out += "Content-Length: " + std::to_string(it.body.size()) + "\r\n";
     }
     return out + more + "\r\n";
