--- a/tests/failures/endless_request_test.cpp
+++ b/tests/failures/endless_request_test.cpp
@@ -21,7 +21,7 @@
 constexpr std::size_t piece_bytes = 64UL * 1024;
 /// More than any head may have, and far more than a host may keep.
 constexpr std::size_t most_bytes = 256UL * 1024 * 1024;
-constexpr seconds longest_write{5};
+constexpr seconds longest_wait{5};
 
 struct endless_head
 {
@@ -39,8 +39,8 @@
     return out;
 }
 
-/// Writes until the other side closes, or all is written. Returns whether it has closed.
-bool write_until_closed(const std::string& address, const endless_head& it)
+/// A connected socket whose reads and writes wait no longer than longest_wait.
+int connect_to(const std::string& address)
 {
     const auto at = parse_endpoint(address);
     sockaddr_in to{};
@@ -49,9 +49,17 @@
     inet_pton(AF_INET, at.ip.c_str(), &to.sin_addr);
     const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     REQUIRE(connect(fd, reinterpret_cast<sockaddr*>(&to), sizeof to) == 0);
-    const timeval limit{.tv_sec = longest_write.count()};
+    const timeval limit{.tv_sec = longest_wait.count()};
     setsockopt(fd, SOL_SOCKET, SO_SNDTIMEO, &limit, sizeof limit);
-    const auto until = std::chrono::steady_clock::now() + longest_write;
+    setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
+    return fd;
+}
+
+/// Writes until the other side closes, or all is written. Returns whether it has closed.
+bool write_until_closed(const std::string& address, const endless_head& it)
+{
+    const int fd = connect_to(address);
+    const auto until = std::chrono::steady_clock::now() + longest_wait;
     std::size_t written = 0;
     bool closed = ::send(fd, it.start.data(), it.start.size(), MSG_NOSIGNAL) < 0;
     while (!closed && written < most_bytes && std::chrono::steady_clock::now() < until) {
@@ -111,15 +119,7 @@
 {
     process_fleet fleet{{}};
     REQUIRE(fleet.wait_served());
-    const auto at = parse_endpoint(fleet.callers(0));
-    sockaddr_in to{};
-    to.sin_family = AF_INET;
-    to.sin_port = htons(at.port);
-    inet_pton(AF_INET, at.ip.c_str(), &to.sin_addr);
-    const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    REQUIRE(connect(fd, reinterpret_cast<sockaddr*>(&to), sizeof to) == 0);
-    const timeval limit{.tv_sec = longest_write.count()};
-    setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
+    const int fd = connect_to(fleet.callers(0));
     constexpr int requests = 30;
     const std::string body(20'000, 'x');
     int answered = 0;
