Own mode: a server's head is bounded by size, and its answer by time

Cause: evhttp has no limit on a head unless told, and its time counts from the last byte, which bytes without end never reach: a request of the own mode, with its slot, ended only when its server closed.

Change: 64 KiB of head; an answer ends response_timeout after its request's deadline, with an unknown outcome. Bodies are read as before: what evhttp holds back (interim answers, a chunk, its length and extension) has no bound of size until then and stays listed red. Test programs ignore SIGPIPE, as the product does.

Tests: "backend answer without end: *", 13 places by time, 3 by size.

--- a/src/plugins/backends/backend_connection.cpp
+++ b/src/plugins/backends/backend_connection.cpp
@@ -33,6 +33,7 @@
     return found == std::end(methods) ? EVHTTP_REQ_GET : found->command;
 }
 
+constexpr ev_ssize_t max_head_bytes = 65'536;
 // A server says in its protocol that it did not run a request.
 constexpr const char* not_run_header = "Quincewing-Not-Run";
 
@@ -49,6 +50,7 @@
     // Without it the library breaks the connection off after a time of its own.
     const auto tv = to_timeval(pool.options_.response_timeout);
     evhttp_connection_set_timeout_tv(connection_, &tv);
+    evhttp_connection_set_max_headers_size(connection_, max_head_bytes);
     evbuffer_add_cb(bufferevent_get_output(bev), on_written, this);
 }
 
@@ -58,6 +60,13 @@
     evhttp_connection_free(connection_);
 }
 
+// The library's own time counts from the last byte, and bytes may come without end.
+bool backend_connection::overdue(instant now) const
+{
+    return busy_ && now > std::max(sent_at_, current_.it->request.deadline) +
+                              pool_.options_.response_timeout;
+}
+
 bool backend_connection::unread() const
 {
     return unread_bytes(bufferevent_getfd(evhttp_connection_get_bufferevent(connection_))) > 0;
--- a/src/plugins/backends/backend_connection.hpp
+++ b/src/plugins/backends/backend_connection.hpp
@@ -28,6 +28,8 @@
     /// Bytes of the present request were handed to the socket.
     [[nodiscard]] bool handed() const { return handed_; }
     [[nodiscard]] bool head_received() const { return head_received_; }
+    /// The server has had its time for the answer, however its bytes come.
+    [[nodiscard]] bool overdue(instant now) const;
     /// Bytes came on the connection and were not read yet.
     [[nodiscard]] bool unread() const;
     [[nodiscard]] backend_pool::waiting& current() { return current_; }
--- a/src/plugins/backends/backend_pool.cpp
+++ b/src/plugins/backends/backend_pool.cpp
@@ -330,7 +330,12 @@
 void backend_pool::sweep(instant now)
 {
     std::vector<backend_connection*> old;
+    std::vector<backend_connection*> overdue;
     for (const auto& it : connections_) {
+        if (it->overdue(now)) {
+            overdue.push_back(it.get());
+            continue;
+        }
         if (!it->busy()) {
             if (now - it->last_answer() > options_.idle) {
                 old.push_back(it.get());
@@ -347,6 +352,10 @@
     for (auto* it : old) {
         drop(*it);
     }
+    for (auto* it : overdue) {
+        it->current().it->resume = nullptr;
+        on_broken(*it);
+    }
 }
 
 } // namespace quincewing
--- a/tests/auto/backends/endless_backend_answer_test.cpp
+++ b/tests/auto/backends/endless_backend_answer_test.cpp
@@ -56,8 +56,51 @@
     timer end_;
 };
 
+/// A few bytes, or lines, of what is sent again and again.
+std::string slow_piece(const std::string& filler)
+{
+    constexpr std::size_t letters = 4;
+    constexpr std::size_t longest_lines = 64;
+    const auto end = filler.rfind('\n', longest_lines);
+    return filler.substr(0, end == std::string::npos ? letters : end + 1);
+}
+
 } // namespace
 
+// Guards against a server of the own mode whose bytes hold a request, and the slot that it has, for
+// ever.
+TEST_CASE(
+    "backend answer without end: it ends after the request's deadline, with an unknown outcome")
+{
+    constexpr millis pause{20};
+    for (auto bytes : all_endless_bytes()) {
+        CAPTURE(bytes.name);
+        bytes.filler = slow_piece(bytes.filler);
+        const endless_run it{bytes, pause};
+        REQUIRE(it.result);
+        // The server may have run it.
+        CHECK(it.result->verdict == verdict::unknown);
+        CHECK_FALSE(it.complete.value_or(false));
+        CHECK(it.server.open_connections() == 0);
+    }
+}
+
+// Guards against a head of the own mode's servers that is kept however long it is.
+TEST_CASE("backend answer without end: a head is read up to its limit")
+{
+    for (const auto& bytes : all_endless_bytes()) {
+        if (bytes.name != "a status line" && bytes.name != "a header's value" &&
+            bytes.name != "headers") {
+            continue;
+        }
+        CAPTURE(bytes.name);
+        const endless_run it{bytes, duration{0}};
+        REQUIRE(it.result);
+        CHECK(it.result->verdict == verdict::unknown);
+        CHECK(it.server.taken() <= allowed_bytes);
+    }
+}
+
 // Guards against a server of the own mode that takes the host's memory, or a request for ever.
 TEST_CASE("backend endless answer: it costs little memory and ends after the request's deadline")
 {
@@ -66,9 +109,7 @@
         for (const auto pause : {millis{0}, millis{50}}) {
             CAPTURE(pause.count());
             if (pause > millis{0}) {
-                bytes.filler.resize(bytes.filler.find('\n') == std::string::npos
-                                        ? 4
-                                        : bytes.filler.rfind('\n', 64) + 1);
+                bytes.filler = slow_piece(bytes.filler);
             }
             const endless_run it{bytes, pause};
             REQUIRE(it.result);
--- a/tests/auto/support/main.cpp
+++ b/tests/auto/support/main.cpp
@@ -1,6 +1,7 @@
 #define DOCTEST_CONFIG_IMPLEMENT
 #include "test_options.hpp"
 
+#include <csignal>
 #include <cstdlib>
 #include <cstring>
 #include <doctest/doctest.h>
@@ -25,6 +26,8 @@
 
 int main(int argc, char** argv)
 {
+    // As in the product: a closed connection is an error of its write.
+    std::signal(SIGPIPE, SIG_IGN);
     auto& options = quincewing::testing::options();
     for (int i = 1; i < argc; ++i) {
         if (std::strncmp(argv[i], "--seed=", 7) == 0) {
