--- a/review/standins-2/cases.hpp
+++ b/review/standins-2/cases.hpp
@@ -12,6 +12,10 @@
     could_not_run = 2
 };
 
+/// A request that crashes each server that runs it, and servers that start again under their ids.
+/// trouble: it does crash them.
+case_result run_crash_case(bool trouble, std::ostream& record);
+
 /// One host's short freezes, and a server that limits its rate. trouble: with the freezes.
 case_result run_limit_case(bool trouble, std::ostream& record);
 
--- a/review/standins-2/main.cpp
+++ b/review/standins-2/main.cpp
@@ -27,7 +27,8 @@
 int main(int argc, char** argv)
 {
     using run_case = review::case_result (*)(bool, std::ostream&);
-    const std::map<std::string, run_case> cases{{"limit", review::run_limit_case}};
+    const std::map<std::string, run_case> cases{{"crash", review::run_crash_case},
+                                                {"limit", review::run_limit_case}};
     const auto found = cases.find(argc == 3 ? argv[1] : "");
     if (found == cases.end()) {
         std::cerr << "usage: CASE RECORD\n";
--- a/review/standins-2/request_load.cpp
+++ b/review/standins-2/request_load.cpp
@@ -55,12 +55,15 @@
                         .host = n % options_.hosts.size(),
                         .sent_ns = standin::now_ns()};
         const auto deadline_ms = std::to_string(options_.deadline / millis{1});
+        const auto number = options_.same_path ? "" : "&number=" + std::to_string(n);
         http_call(loop_,
-                  {.address = options_.hosts[out.host],
-                   .path = options_.path,
+                  {.method = options_.method,
+                   .address = options_.hosts[out.host],
+                   .path = options_.path + number,
                    .headers = {{"Host", "gauges.example"},
                                {"Request-Id", out.request},
                                {"Request-Deadline-Ms", deadline_ms}},
+                   .body = options_.body,
                    .timeout = options_.deadline + patience},
                   [this, out](const http_answer& it) mutable {
                       out.status = it.status;
--- a/review/standins-2/request_load.hpp
+++ b/review/standins-2/request_load.hpp
@@ -4,6 +4,7 @@
 #include "quincewing/net/event_loop.hpp"
 
 #include <cstddef>
+#include <functional>
 #include <ostream>
 #include <string>
 #include <utility>
@@ -22,7 +23,11 @@
     duration length{seconds{10}};
     /// What the callers say that they will wait.
     duration deadline{seconds{6}};
+    std::string method{"GET"};
     std::string path{"/read/gauge?work_ms=5"};
+    std::string body;
+    /// All requests have this path, and not a number of their own in its query.
+    bool same_path{true};
     /// Beginning of the requests' ids.
     std::string name{"load"};
     std::vector<timed_step> steps;
