--- a/review/standins-2/cases.hpp
+++ b/review/standins-2/cases.hpp
@@ -19,4 +19,8 @@
 /// One host's short freezes, and a server that limits its rate. trouble: with the freezes.
 case_result run_limit_case(bool trouble, std::ostream& record);
 
+/// The address of a server that crashed goes to one of another service while the coordinating host
+/// is stopped. trouble: the new server has that address.
+case_result run_reuse_case(bool trouble, std::ostream& record);
+
 } // namespace quincewing::review
--- a/review/standins-2/main.cpp
+++ b/review/standins-2/main.cpp
@@ -28,7 +28,8 @@
 {
     using run_case = review::case_result (*)(bool, std::ostream&);
     const std::map<std::string, run_case> cases{{"crash", review::run_crash_case},
-                                                {"limit", review::run_limit_case}};
+                                                {"limit", review::run_limit_case},
+                                                {"reuse", review::run_reuse_case}};
     const auto found = cases.find(argc == 3 ? argv[1] : "");
     if (found == cases.end()) {
         std::cerr << "usage: CASE RECORD\n";
