Review case 6: a reused address, and a coordinator that has just begun

Cause: what keeps a grant back from an address that another server may have is known to the coordinator that saw the connection break, not to the next one.

--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -2,7 +2,7 @@
 # Exit status: 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 set -uo pipefail
 cd "$(dirname "$0")"
-timeout --signal=KILL 110 ../../build-review-2/review-2 limit record.txt
+timeout --signal=KILL 110 ../../build-review-2/review-2 reuse record.txt
 status=$?
 [ "$status" -le 1 ] || status=2
 exit "$status"
--- a/review/standins-2/reuse_case.cpp
+++ b/review/standins-2/reuse_case.cpp
@@ -24,11 +24,14 @@
 constexpr seconds calm_time{5};
 /// An address may be given away so long after the end of its server (`addrReuseS`).
 constexpr millis reuse_time{2000};
-/// The entry of a server that crashed right after a heartbeat stays so long: three heartbeats of
-/// 1.5 s.
-constexpr millis entry_time{4500};
+/// The entry of a server that crashed between two heartbeats stays so long: heartbeats come each
+/// 1.5 s, and it goes after three of them.
+constexpr millis entry_time{3750};
 /// A server's first entry is written so long after it takes requests: less than a heartbeat.
-constexpr millis first_entry_after{700};
+constexpr millis first_entry_after{1000};
+/// The coordinating host is stopped so long after the end of the server; another one takes its
+/// place within two seconds.
+constexpr millis stop_time{1250};
 constexpr seconds watch_time{8};
 
 // The rule: two servers that are up hold the same keys for over half a second.
@@ -59,13 +62,14 @@
 
     const auto ended_at = std::chrono::steady_clock::now();
     const auto address = servers.kill("b-0");
+    std::this_thread::sleep_until(ended_at + stop_time);
+    fleet.host(coordinating).signal(SIGTERM);
     std::this_thread::sleep_until(ended_at + reuse_time);
     if (trouble) {
         servers.start_at("g-new", gauges, address);
     } else {
         servers.start("g-new", gauges);
     }
-    fleet.host(coordinating).signal(SIGTERM);
     std::this_thread::sleep_until(ended_at + reuse_time + first_entry_after);
     servers.write_entry("g-new");
     std::this_thread::sleep_until(ended_at + entry_time);
