--- a/review/standins-2/limit_case.cpp
+++ b/review/standins-2/limit_case.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <csignal>
 #include <iostream>
+#include <map>
 #include <stdexcept>
 
 namespace quincewing::review {
@@ -35,6 +36,8 @@
 // what it allows, and 5 requests.
 constexpr long long settle_ns = 3'000'000'000;
 constexpr long long window_ns = 4'000'000'000;
+/// A host counts from so long after it has passed on an answer that names the limit.
+constexpr long long passed_on_ns = 500'000'000;
 constexpr double allowed = 1.5 * limit * 4 + 5;
 
 struct window
@@ -74,6 +77,28 @@
     return out;
 }
 
+/// When each request's host had first passed on an answer of the server, by the request. Hosts that
+/// passed on none have no requests in it.
+std::map<std::string, long long> first_answers(const std::vector<load_answer>& answers)
+{
+    constexpr int http_ok = 200;
+    std::map<std::size_t, long long> by_host;
+    for (const auto& it : answers) {
+        const auto known = by_host.find(it.host);
+        const bool earlier = known == by_host.end() || it.answered_ns < known->second;
+        if (it.status == http_ok && earlier) {
+            by_host[it.host] = it.answered_ns;
+        }
+    }
+    std::map<std::string, long long> out;
+    for (const auto& it : answers) {
+        if (const auto known = by_host.find(it.host); known != by_host.end()) {
+            out[it.request] = known->second;
+        }
+    }
+    return out;
+}
+
 std::vector<timed_step> freeze_steps(testing::entry_fleet& fleet, int host)
 {
     std::vector<timed_step> out;
@@ -113,10 +138,13 @@
     record << "limit " << limit << " named_ns " << named_ns << " frozen_host " << giving << "\n";
     write_answers(record, first);
     write_answers(record, second);
+    const auto passed_on = first_answers(second);
     std::vector<long long> times;
     for (const auto& it : fleet.arrivals(0)) {
         record << "arrived " << it.request << " at_ns " << it.at_ns << "\n";
-        if (it.at_ns >= named_ns + settle_ns && it.request.starts_with("second")) {
+        const auto known = passed_on.find(it.request);
+        const bool counts = known != passed_on.end() && it.at_ns >= known->second + passed_on_ns;
+        if (it.at_ns >= named_ns + settle_ns && counts) {
             times.push_back(it.at_ns);
         }
     }
--- a/review/standins-2/main.cpp
+++ b/review/standins-2/main.cpp
@@ -3,7 +3,6 @@
 #include "test_options.hpp"
 
 #include <csignal>
-#include <cstdlib>
 #include <exception>
 #include <fstream>
 #include <iostream>
@@ -23,24 +22,23 @@
 
 namespace review = quincewing::review;
 
-// Arguments: CASE RECORD. TROUBLE=0 in the environment leaves the disruption out.
+// Arguments: CASE RECORD TROUBLE. With TROUBLE 0 the disruption is left out.
 int main(int argc, char** argv)
 {
     using run_case = review::case_result (*)(bool, std::ostream&);
     const std::map<std::string, run_case> cases{{"crash", review::run_crash_case},
                                                 {"limit", review::run_limit_case},
                                                 {"reuse", review::run_reuse_case}};
-    const auto found = cases.find(argc == 3 ? argv[1] : "");
+    const auto found = cases.find(argc == 4 ? argv[1] : "");
     if (found == cases.end()) {
-        std::cerr << "usage: CASE RECORD\n";
+        std::cerr << "usage: CASE RECORD TROUBLE\n";
         return static_cast<int>(review::case_result::could_not_run);
     }
     std::signal(SIGPIPE, SIG_IGN);
-    const char* trouble = std::getenv("TROUBLE");
+    const bool trouble = std::string{argv[3]} != "0";
     std::ofstream record{argv[2]};
     try {
-        const auto result =
-            found->second(trouble == nullptr || std::string{trouble} != "0", record);
+        const auto result = found->second(trouble, record);
         return static_cast<int>(result);
     } catch (const std::exception& e) {
         std::cerr << "the case could not run: " << e.what() << "\n";
--- a/review/standins-2/reborn_servers.cpp
+++ b/review/standins-2/reborn_servers.cpp
@@ -47,6 +47,21 @@
     entry["born"] = it.born;
     fleet_.write_server_entry(it.id, entry.dump());
     it.entry_written = true;
+    it.listed = true;
+    it.heartbeat_at = clock::now();
+}
+
+void reborn_servers::keep_entry(server& it)
+{
+    constexpr int heartbeats_missed = 3;
+    const auto silent = clock::now() - it.heartbeat_at;
+    const bool up = it.ended_at == clock::time_point{};
+    if (up && it.entry_written && silent >= options_.heartbeat) {
+        write_entry(it);
+    } else if (it.listed && silent >= heartbeats_missed * options_.heartbeat) {
+        fleet_.write_server_entry(it.id, {});
+        it.listed = false;
+    }
 }
 
 void reborn_servers::look()
@@ -61,6 +76,7 @@
         } else if (!it.entry_written && now >= it.entry_due) {
             write_entry(it);
         }
+        keep_entry(it);
     }
 }
 
--- a/review/standins-2/reborn_servers.hpp
+++ b/review/standins-2/reborn_servers.hpp
@@ -18,10 +18,12 @@
     duration down{millis{3300}};
     /// Time from then until its entry in the store is written.
     duration entry_after{millis{700}};
+    /// Time between two writes of an entry; it is removed after three of them without one.
+    duration heartbeat{millis{1500}};
 };
 
-/// Backend servers of a fleet. One whose process has ended starts again at its address under its
-/// id, and writes its entry with the new time of its start.
+/// Backend servers of a fleet, which write heartbeats. One whose process has ended starts again at
+/// its address under its id, and writes its entry with the new time of its start.
 class reborn_servers
 {
 public:
@@ -45,12 +47,18 @@
         clock::time_point entry_due{};
         /// Unix milliseconds.
         long long born{};
+        /// The present process has written its entry.
         bool entry_written{};
+        /// The store has an entry of this or an earlier process.
+        bool listed{};
+        clock::time_point heartbeat_at{};
     };
 
     [[nodiscard]] std::string journal_of(const server& it) const;
     void start(server& it);
     void write_entry(server& it);
+    /// The heartbeats, and what the store does when they end.
+    void keep_entry(server& it);
 
     const testing::entry_fleet& fleet_;
     reborn_servers_options options_;
--- a/review/standins-2/reuse_case.cpp
+++ b/review/standins-2/reuse_case.cpp
@@ -14,7 +14,7 @@
 namespace {
 
 constexpr int hosts = 3;
-constexpr int servers_each = 3;
+constexpr int servers_each = 6;
 constexpr seconds ready_timeout{20};
 constexpr const char* host_settings =
     "cores = 0.2\nmemory = 260MiB\ndescriptors = 4100\nextra_grants = 2\n";
