--- a/review/standins-2/reborn_servers.hpp
+++ b/review/standins-2/reborn_servers.hpp
@@ -15,7 +15,7 @@
     std::size_t servers{3};
     std::size_t slots{8};
     /// Time from the end of a process until the next one takes requests.
-    duration down{millis{3300}};
+    duration down{millis{3500}};
     /// Time from then until its entry in the store is written.
     duration entry_after{millis{700}};
     /// Time between two writes of an entry; it is removed after three of them without one.
