Grant keys only to a process that has told its id, where several services have keys

A server ends, its address goes to a server of another service that is divided by key, and the coordinator changes in between. The new coordinator grants the process at the address the dead server's keys.

Cause: a grant names no server, so whoever listens at the address takes it. What kept grants back was a memory of the connections that this coordinator's own calls had lost. A coordinator that has just begun has lost none.

Change: where more than one service is or was divided by key, a grant that is no renewal goes out on a connection on which the process has answered the service's health check with the holder's id. The answer and the grants share the connection, so no other process can get them; that needs no memory of an earlier coordinator, and the memory of losses and records is gone. Deployments with one such service are served as before.

How long a takeover takes with two such services was not measured.

--- a/include/quincewing/assignment/coordinator.hpp
+++ b/include/quincewing/assignment/coordinator.hpp
@@ -42,6 +42,8 @@
     duration max_append_pause{seconds{1}};
     /// Delay before a failed call is repeated.
     duration call_retry_delay{millis{150}};
+    /// Interval between attempts to identify the process at a server's address.
+    duration identify_interval{millis{300}};
     /// Time without heartbeats after which another host takes over the term.
     duration takeover_timeout{millis{1000}};
     /// A host that has just started takes no term for this time.
@@ -65,7 +67,7 @@
     bool heed_era_of_table{true};
     bool release_by_own_answer{true};
     bool release_by_token{true};
-    bool heed_lost_servers{true};
+    bool identify_servers{true};
 };
 
 /// Why the previous owner of a range counts as not holding it any more.
@@ -117,10 +119,6 @@
     void on_coordinator_heartbeat(instant now, const assignment_table& table, duration read_age);
     /// Registered servers and the services that have keys.
     void set_servers(instant now, const backend_servers& servers, std::set<service_id> keyed);
-    /// A read of the servers' stream that was sent at `sent` has reached `end`. records: the offset
-    /// of the newest record that it returned for each server.
-    void on_servers_read(instant sent, log_offset end,
-                         const std::map<server_id, log_offset>& records);
     /// The rates that servers take, of those that limit theirs.
     void set_rate_limits(std::map<server_id, request_rate> limits)
     {
@@ -195,30 +193,36 @@
         /// Whenever the call arrived, the server's grant has ended by then.
         instant latest_grant_end{};
         bool is_grant{};
+        bool is_identification{};
     };
 
-    struct lost_server
+    /// What is known of the process at a server's address.
+    struct server_identity
     {
-        instant since{};
-        /// End of the stream of servers at some time after that; unset: not known yet.
-        std::optional<log_offset> end;
+        /// The server has told its id on this connection; 0: on none that is still open.
+        connection_number connection;
+        bool call_pending{};
+        instant next_call{};
     };
 
     /// A grant names no server, so a server of another keyed service that listens at the address by
     /// now may accept it. With one keyed service there is no such server.
     [[nodiscard]] bool grants_may_go_astray() const
     {
-        return options_.heed_lost_servers && keyed_services_.size() > 1;
-    }
-    /// A grant to the holder was not sent or has an unknown outcome, and no later record of the
-    /// server has been read.
-    [[nodiscard]] bool lost(const key_holder& holder) const
-    {
-        return grants_may_go_astray() && lost_.contains(holder);
+        return options_.identify_servers && known_keyed_services_.size() > 1;
     }
-    void note_lost(instant now, const key_holder& holder);
-    /// Whether a new connection to the holder's address is certain to reach this server.
-    [[nodiscard]] bool may_connect(const key_holder& holder) const;
+    /// Newest connection that is certain to lead to the holder; 0: any, or none.
+    [[nodiscard]] connection_number identified_connection(const key_holder& holder) const;
+    /// Whether a grant that is no renewal is certain to reach no other server.
+    [[nodiscard]] bool may_grant(const key_holder& holder) const;
+    /// Asks the process at the owner's address for its id, unless it is known or was asked.
+    void identify_owner(instant now, const assigned_range& range);
+    void on_identification(instant now, const pending_call& call, call_outcome outcome,
+                           connection_number connection);
+    void forget_identity(const key_holder& holder);
+    void forget_identities(connection_number connection);
+    /// Whether the holder is registered, in the start that is meant.
+    [[nodiscard]] bool registered(const key_holder& holder) const;
     range_state& state_of(const assigned_range& range);
     [[nodiscard]] const range_state* find_state(const assigned_range& range) const;
     void request_read(instant now);
@@ -351,9 +355,10 @@
     backend_servers servers_;
     /// Addresses with more than one entry. Only one of these servers can still listen there.
     std::set<std::string> shared_addresses_;
-    /// Servers whose address may have been taken over by another server.
-    std::map<key_holder, lost_server> lost_;
+    std::map<key_holder, server_identity> identities_;
     std::set<service_id> keyed_services_;
+    /// Services that have or had keys: their servers accept grants.
+    std::set<service_id> known_keyed_services_;
     std::map<server_id, request_rate> rate_limits_;
     /// When keys were last moved.
     std::map<std::pair<service_id, key_range>, instant> moved_at_;
--- a/include/quincewing/assignment/coordinator_effects.hpp
+++ b/include/quincewing/assignment/coordinator_effects.hpp
@@ -8,7 +8,7 @@
 
 namespace quincewing {
 
-/// Matches the answer to a call with the grant or release that the coordinator requested.
+/// Matches the answer to a call to a server with what the coordinator requested.
 using call_number = strong<struct call_number_tag, std::uint64_t>;
 
 /// Numbers a host's connections to servers in the order of opening; 0 means no connection.
@@ -60,7 +60,17 @@
     bool own_connection{};
 };
 
-using coordinator_effect = std::variant<read_table, append_table, grant_keys, release_keys>;
+/// Ask the process at the holder's address for its id. The call is accepted if it is the holder's.
+struct identify_server
+{
+    call_number number;
+    key_holder holder;
+    service_id service;
+    duration timeout{};
+};
+
+using coordinator_effect =
+    std::variant<read_table, append_table, grant_keys, release_keys, identify_server>;
 
 enum class call_outcome
 {
--- a/include/quincewing/deployment/deployment_api.hpp
+++ b/include/quincewing/deployment/deployment_api.hpp
@@ -31,7 +31,7 @@
     answered_anew
 };
 
-/// How a call that grants keys or takes them back ended.
+/// How a call that grants keys, takes them back or asks for a server's id ended.
 struct key_call_result
 {
     call_outcome outcome{call_outcome::unknown};
@@ -44,11 +44,15 @@
     server_notice notice;
 };
 
-/// Calls that grant keys to backend servers and take them back.
+/// Calls that grant keys to backend servers and take them back. They share their connections.
 struct key_api
 {
     std::function<void(const grant_keys&, std::function<void(const key_call_result&)>)> grant;
     std::function<void(const release_keys&, std::function<void(const key_call_result&)>)> release;
+    /// path: that of the service's health check, which answers with the server's id.
+    std::function<void(const identify_server&, const std::string& path,
+                       std::function<void(const key_call_result&)>)>
+        identify;
 };
 
 /// Everything that depends on the platform, expressed in platform-independent types.
--- a/include/quincewing/routing/configuration.hpp
+++ b/include/quincewing/routing/configuration.hpp
@@ -74,6 +74,8 @@
     }
 };
 
+inline constexpr const char* default_health_check = "/health";
+
 struct service_configuration
 {
     /// Connections that one server accepts in total.
@@ -82,6 +84,8 @@
     bool keyed{};
     /// The rate that one server takes from all hosts together while it is cold; 0: no limit.
     request_rate warm_up_rate;
+    /// Path at which a server tells its id and whether it is well.
+    std::string health_check{default_health_check};
 
     bool operator==(const service_configuration&) const = default;
     template <class F>
@@ -90,6 +94,7 @@
         f(max_connections);
         f(keyed);
         f(warm_up_rate);
+        f(health_check);
     }
 };
 
--- a/src/libs/assignment/coordinator.cpp
+++ b/src/libs/assignment/coordinator.cpp
@@ -203,6 +203,7 @@
     range_states_.clear();
     latest_grant_ends_.clear();
     calls_.clear();
+    identities_.clear();
     // The previous coordinator may act for as long as its last read allows, and its last grants are
     // valid for their full time after that.
     const bool clean_stop = after_clean_stop_ && !table_.unsettled && !table_.given_up_early;
@@ -222,6 +223,7 @@
     coordinating_ = false;
     range_states_.clear();
     calls_.clear();
+    identities_.clear();
     pending_append_.reset();
     append_outcome_unknown_ = false;
     if (hooks_.on_term_change) {
@@ -293,37 +295,6 @@
 
 // ---- servers
 
-// Only a record written after the loss shows that the server still has its address. A read sent
-// after the loss may return older records, so the first one only notes the end of the stream;
-// records at or beyond that offset were written later.
-void coordinator::on_servers_read(instant sent, log_offset end,
-                                  const std::map<server_id, log_offset>& records)
-{
-    for (auto it = lost_.begin(); it != lost_.end();) {
-        const auto record = records.find(it->first.id);
-        const auto& known_end = it->second.end;
-        if (known_end && record != records.end() && record->second >= *known_end) {
-            it = lost_.erase(it);
-            continue;
-        }
-        if (!known_end && sent > it->second.since) {
-            it->second.end = end;
-        }
-        ++it;
-    }
-}
-
-void coordinator::note_lost(instant now, const key_holder& holder)
-{
-    lost_[holder] = {.since = now};
-}
-
-bool coordinator::may_connect(const key_holder& holder) const
-{
-    return !grants_may_go_astray() ||
-           (!lost(holder) && !shared_addresses_.contains(holder.address));
-}
-
 void coordinator::set_servers(instant now, const backend_servers& servers,
                               std::set<service_id> keyed)
 {
@@ -332,6 +303,7 @@
     }
     servers_ = servers;
     keyed_services_ = std::move(keyed);
+    known_keyed_services_.insert(keyed_services_.begin(), keyed_services_.end());
     std::set<std::string> addresses;
     shared_addresses_.clear();
     for (const auto& [id, server] : servers_) {
@@ -339,10 +311,7 @@
             shared_addresses_.insert(server.address);
         }
     }
-    std::erase_if(lost_, [&](const auto& it) {
-        const auto entry = servers_.find(it.first.id);
-        return entry == servers_.end() || entry->second.start != it.first.start;
-    });
+    std::erase_if(identities_, [this](const auto& it) { return !registered(it.first); });
 }
 
 backend_servers coordinator::ready_servers() const
--- a/src/libs/assignment/coordinator_eras.cpp
+++ b/src/libs/assignment/coordinator_eras.cpp
@@ -39,10 +39,6 @@
     end_ = {};
     table_known_ = false;
     note_table_lost(now);
-    // Offsets of different eras can't be compared, so the end of the stream is read again.
-    for (auto& [holder, it] : lost_) {
-        it = {.since = now};
-    }
     if (coordinating_) {
         request_read(now);
     }
--- a/src/libs/assignment/coordinator_ranges.cpp
+++ b/src/libs/assignment/coordinator_ranges.cpp
@@ -77,6 +77,9 @@
 void coordinator::advance_range(instant now, const assigned_range& range)
 {
     auto& state = state_of(range);
+    if (state.connection == connection_number{} || state.needs_new_fence) {
+        identify_owner(now, range);
+    }
     if (state.call_pending || state.needs_new_fence || now < state.next_call ||
         !may_advance(state)) {
         return;
@@ -116,15 +119,12 @@
 }
 
 // A renewal goes to the process that had the last grant, as it is bound to its connection. Any
-// other grant reaches whoever has the address, and names no server.
+// other grant names no server either, and reaches whoever has the address: where that matters it is
+// bound to a connection on which the server has told its id.
 void coordinator::grant_range(instant now, const assigned_range& range, range_state& state)
 {
-    const auto server = servers_.find(range.owner.id);
-    if (server == servers_.end() || server->second.start != range.owner.start) {
-        return;
-    }
     const bool renewal = state.connection != connection_number{};
-    if (!renewal && !may_connect(range.owner)) {
+    if (!registered(range.owner) || (!renewal && !may_grant(range.owner))) {
         return;
     }
     const bool degraded = now - last_read_ > options_.degraded_after;
@@ -139,14 +139,15 @@
                       .latest_grant_end =
                           now + options_.grant_timeout + with_clock_drift(valid_for),
                       .is_grant = true};
-    effects_.emplace_back(grant_keys{.number = number,
-                                     .holder = range.owner,
-                                     .keys = range.keys,
-                                     .fence = range.fence,
-                                     .valid_for = valid_for,
-                                     .handoff = state.handoff,
-                                     .timeout = options_.grant_timeout,
-                                     .newest_connection = state.connection});
+    effects_.emplace_back(grant_keys{
+        .number = number,
+        .holder = range.owner,
+        .keys = range.keys,
+        .fence = range.fence,
+        .valid_for = valid_for,
+        .handoff = state.handoff,
+        .timeout = options_.grant_timeout,
+        .newest_connection = renewal ? state.connection : identified_connection(range.owner)});
 }
 
 void coordinator::on_call(instant now, call_number number, call_outcome outcome,
@@ -162,6 +163,14 @@
     }
     const auto pending = call->second;
     calls_.erase(call);
+    if (pending.is_identification) {
+        on_identification(now, pending, outcome, connection);
+        return;
+    }
+    if (pending.is_grant &&
+        (outcome == call_outcome::not_sent || outcome == call_outcome::unknown)) {
+        forget_identity(pending.holder);
+    }
     if (pending.is_grant && outcome != call_outcome::not_sent) {
         auto& end = latest_grant_ends_[pending.holder];
         end = std::max(end, pending.latest_grant_end);
@@ -187,6 +196,7 @@
     if (connection.value == 0) {
         return;
     }
+    forget_identities(connection);
     for (auto& [id, state] : range_states_) {
         if (state.connection == connection) {
             state.granted_until = {};
@@ -217,9 +227,6 @@
                            call_outcome outcome, connection_number connection)
 {
     auto& state = state_of(range);
-    if (outcome == call_outcome::not_sent || outcome == call_outcome::unknown) {
-        note_lost(now, call.holder);
-    }
     if (outcome == call_outcome::accepted) {
         const bool held_before = now < state.granted_until;
         state.granted_until = call.granted_until;
--- a/src/libs/assignment/coordinator_updates.cpp
+++ b/src/libs/assignment/coordinator_updates.cpp
@@ -43,7 +43,7 @@
 {
     return std::any_of(table_.ranges.begin(), table_.ranges.end(), [&](const auto& range) {
         const auto* state = find_state(range);
-        return state != nullptr && ((state->needs_new_fence && !lost(range.owner) &&
+        return state != nullptr && ((state->needs_new_fence && may_grant(range.owner) &&
                                      may_change(table_, range.service, range.keys)) ||
                                     (state->released && !range.previous_owner.empty()));
     });
@@ -54,13 +54,13 @@
     bool changed = false;
     for (auto& range : next.ranges) {
         const auto* state = find_state(range);
-        // A lost owner gets no grant before a later record of it is read, so it gets no new fence
-        // either; its last grant still counts.
-        if (state == nullptr || !state->needs_new_fence || lost(range.owner) ||
+        // An owner that is not identified gets no grant, so it gets no new fence either; its last
+        // grant still counts.
+        if (state == nullptr || !state->needs_new_fence || !may_grant(range.owner) ||
             !may_change(table_, range.service, range.keys)) {
             continue;
         }
-        // Only one process listens at the owner's address, and a grant goes there only when that is
+        // Only one process listens at the owner's address, and it gets a grant only when it is
         // certain to be one of the owner. Whichever start of it that is, it may be granted the keys
         // under a new fence, and then refuses calls in flight under the old one.
         range.fence = ++next.last_fence;
--- a/src/plugins/entry/coordination_task.cpp
+++ b/src/plugins/entry/coordination_task.cpp
@@ -189,17 +189,6 @@
     on_limits();
 }
 
-void coordination_task::on_servers_read(instant sent, const store_page& page)
-{
-    std::map<server_id, log_offset> records;
-    for (const auto& it : page.records) {
-        if (it.value) {
-            records[server_id{it.key}] = it.offset;
-        }
-    }
-    core_.on_servers_read(sent, page.end, records);
-}
-
 void coordination_task::on_evacuations(instant now)
 {
     if (core_.coordinating()) {
--- a/src/plugins/entry/coordination_task.hpp
+++ b/src/plugins/entry/coordination_task.hpp
@@ -49,8 +49,6 @@
     [[nodiscard]] bool stopped() const { return core_.stopped(); }
 
     void on_servers_or_configuration(instant now);
-    /// A page of the servers' stream was read, by a read that was sent at this time.
-    void on_servers_read(instant sent, const store_page& page);
     /// Tells the others at once, if this host coordinates.
     void on_evacuations(instant now);
     /// The store came back from an older copy, or its era is known for the first time.
@@ -85,6 +83,8 @@
     void execute(const append_table& it);
     void execute(const grant_keys& it);
     void execute(const release_keys& it);
+    void execute(const identify_server& it);
+    [[nodiscard]] std::string health_check_of(const service_id& service) const;
     void tell_notice(const key_holder& to, const key_call_result& result);
     void publish_table(instant now);
     void note_broadcast_base();
@@ -142,6 +142,7 @@
     instant next_balance_log_{};
     /// Grants and releases by their outcomes.
     event_counts key_calls_{"key_calls"};
+    event_counts identifications_{"identifications"};
     /// Versions received last from the coordinator, the host that sent them, and when.
     coordinator_beat coordinator_versions_;
     host_id coordinator_host_;
--- a/src/plugins/entry/coordination_task_effects.cpp
+++ b/src/plugins/entry/coordination_task_effects.cpp
@@ -129,6 +129,32 @@
     });
 }
 
+void coordination_task::execute(const identify_server& it)
+{
+    const auto begun_at = monotonic_now();
+    const auto done = [this, it, begun_at](const key_call_result& result) {
+        const auto now = monotonic_now();
+        identifications_.add(to_string(result.outcome));
+        hooks_.on_key_call(it.holder, begun_at, result.way);
+        if (result.outcome != call_outcome::accepted) {
+            log_event("identification_failed", {{"server", it.holder.id.value},
+                                                {"address", it.holder.address},
+                                                {"outcome", to_string(result.outcome)}});
+        }
+        tell_notice(it.holder, result);
+        core_.on_call(now, it.number, result.outcome, "", result.connection);
+        execute_effects();
+    };
+    context_.platform.keys.identify(it, health_check_of(it.service), done);
+}
+
+std::string coordination_task::health_check_of(const service_id& service) const
+{
+    const auto& services = context_.view.routes().current().services;
+    const auto found = services.find(service);
+    return found == services.end() ? default_health_check : found->second.health_check;
+}
+
 // Whoever has the address answers a call; only the process that holds the keys accepts it. An
 // answer that does not name a limit ends none: it is no answer to a request.
 void coordination_task::tell_notice(const key_holder& to, const key_call_result& result)
@@ -190,6 +216,7 @@
     }
     next_balance_log_ = now + balance_log_period;
     key_calls_.log();
+    identifications_.log();
     for (const auto& service : context_.view.keyed_services()) {
         const auto utilizations = core_.server_utilizations(service);
         if (utilizations.empty()) {
--- a/src/plugins/entry/entry_host.cpp
+++ b/src/plugins/entry/entry_host.cpp
@@ -66,11 +66,7 @@
              .on_process_gone = [](const host_id&) {},
              .on_request = [this](const exchange_ptr& it) { relays.on_request(it); },
              .next_request_id = [] { return request_id{}; }}),
-      follower(context, {.on_servers = [this] { on_view_change(); },
-                         .on_read =
-                             [this](instant sent, const store_page& page) {
-                                 coordination.on_servers_read(sent, page);
-                             }}),
+      follower(context, {.on_servers = [this] { on_view_change(); }}),
       configuration(context, {.on_configuration = [this] { on_view_change(); },
                               .on_unknown = [this] { coordination.ask_for_configuration(); }}),
       coordination(context, peers, follower, configuration,
--- a/src/plugins/entry/store_follower.cpp
+++ b/src/plugins/entry/store_follower.cpp
@@ -99,9 +99,6 @@
         servers_as_of_ = sent;
     }
     publish_servers();
-    if (hooks_.on_read) {
-        hooks_.on_read(sent, page);
-    }
 }
 
 void store_follower::on_relayed_servers(const std::vector<backend_server>& servers, log_offset read,
--- a/src/plugins/entry/store_follower.hpp
+++ b/src/plugins/entry/store_follower.hpp
@@ -11,8 +11,6 @@
 struct store_follower_hooks
 {
     std::function<void()> on_servers;
-    /// A page of the servers' stream was read, by a read that was sent at this time.
-    std::function<void(instant sent, const store_page& page)> on_read{};
 };
 
 /// Why a host reads the store; decides how often it does.
--- a/tests/auto/assignment/address_reuse_test.cpp
+++ b/tests/auto/assignment/address_reuse_test.cpp
@@ -24,16 +24,19 @@
 /// new connections.
 struct reused_address
 {
-    reused_address()
+    explicit reused_address(std::set<service_id> keyed = two_services)
     {
-        f.keyed = two_services;
+        f.keyed = std::move(keyed);
         f.add_server("s1", 1, address);
         f.add_server("s2", 1, "10.0.0.2:80");
         f.run(seconds{6});
         REQUIRE(f.all_held());
-        f.silent.insert(server_id{"s1"});
+        f.identify_outcome = [](const auto& call) {
+            return call.holder.id.value == "s1" ? call_outcome::rejected : call_outcome::accepted;
+        };
+        f.newest_connection = connection_number{2};
         f.grant_outcome = [](const auto& call) {
-            const bool on_old_connection = call.newest_connection != connection_number{};
+            const bool on_old_connection = call.newest_connection == connection_number{1};
             return call.holder.id.value == "s1" && on_old_connection ? call_outcome::not_sent
                                                                      : call_outcome::accepted;
         };
@@ -45,7 +48,7 @@
 
 // Guards against a process that gets the keys of a dead one since it has its address, beside the
 // server that has these keys in its own service (OWNER, review).
-TEST_CASE("coordinator address: a server that is lost gets no grant until it is heard of")
+TEST_CASE("coordinator address: a server that is lost gets no grant until it is identified")
 {
     reused_address it;
     auto& f = it.f;
@@ -63,7 +66,7 @@
     }
     SUBCASE("a server that was only out of reach gets its keys under a new fence")
     {
-        f.silent.clear();
+        f.identify_outcome = [](const auto&) { return call_outcome::accepted; };
         const auto before = f.core.table().last_fence;
         f.run(millis{500});
         CHECK(grants_to(f, address) > 0);
@@ -72,24 +75,71 @@
     }
     SUBCASE("a new start gets its keys")
     {
+        f.identify_outcome = [](const auto&) { return call_outcome::accepted; };
         f.add_server("s1", 2, address);
         f.run(seconds{1});
         CHECK(grants_to(f, address) > 0);
     }
 }
 
-// Guards against a record from before the loss, read after it, taken for a sign of life.
-TEST_CASE("coordinator address: a record from before the loss says nothing of a lost server")
+// Guards against a coordinator that has just begun, and knows nothing of the connections that its
+// predecessor lost, granting a dead server's keys to the process that has its address (OWNER).
+TEST_CASE("coordinator address: a new coordinator grants nothing to another process")
+{
+    reused_address before;
+    coordinator_fixture f{"h2"};
+    f.now = before.f.now;
+    f.stored = before.f.stored;
+    f.end = before.f.end;
+    f.keyed = two_services;
+    f.add_server("s1", 1, address);
+    f.add_server("s2", 1, "10.0.0.2:80");
+    f.identify_outcome = before.f.identify_outcome;
+    f.run(seconds{4});
+    REQUIRE(f.core.coordinating());
+    CHECK(grants_to(f, address) == 0);
+    CHECK(grants_to(f, "10.0.0.2:80") > 0);
+}
+
+// Guards against a grant on another connection than the one on which the server told its id.
+TEST_CASE("coordinator address: a grant is bound to the connection of the identification")
+{
+    coordinator_fixture f;
+    f.keyed = two_services;
+    f.add_server("s1", 1, address);
+    f.run(seconds{6});
+    REQUIRE(!f.grants.empty());
+    CHECK(!f.identifications.empty());
+    for (const auto& it : f.grants) {
+        CHECK(it.newest_connection == connection_number{1});
+    }
+}
+
+// Guards against a grant that fails after its range got another fence: the server counted as well.
+TEST_CASE("coordinator address: an unanswered grant of an old fence needs a new identification")
+{
+    coordinator_fixture f;
+    f.keyed = two_services;
+    f.add_server("s1", 1, address);
+    f.run(seconds{6});
+    REQUIRE(f.all_held());
+    f.grant_outcome = [](const auto&) { return call_outcome::unknown; };
+    f.identifications.clear();
+    f.run(seconds{2});
+    CHECK(!f.identifications.empty());
+}
+
+// Guards against a service whose keys were taken away by a configuration: its servers still accept
+// grants.
+TEST_CASE("coordinator address: a service that had keys counts")
 {
     reused_address it;
     auto& f = it.f;
-    const log_offset last_record{f.servers_end - 1};
+    f.keyed = {keyed_service};
+    f.add_server("s2", 1, "10.0.0.2:80");
     f.run(seconds{1});
     f.grants.clear();
-    for (int i = 0; i < 20; ++i) {
-        f.core.on_servers_read(f.now, log_offset{f.servers_end}, {{server_id{"s1"}, last_record}});
-        f.run(millis{100});
-    }
+    f.run(seconds{3});
     CHECK(grants_to(f, address) == 0);
 }
 
@@ -97,10 +147,8 @@
 // that breaks is no reason to wait there.
 TEST_CASE("coordinator address: with one keyed service a grant follows a broken connection at once")
 {
-    reused_address it;
+    reused_address it{{keyed_service}};
     auto& f = it.f;
-    f.keyed = {keyed_service};
-    f.add_server("s2", 1, "10.0.0.2:80");
     f.grants.clear();
     f.run(seconds{1});
     CHECK(grants_to(f, address) > 0);
@@ -124,8 +172,9 @@
     }
     SUBCASE("the holder's connection is gone, though its entry is renewed")
     {
+        f.newest_connection = connection_number{2};
         f.grant_outcome = [](const auto& call) {
-            const bool on_old_connection = call.newest_connection != connection_number{};
+            const bool on_old_connection = call.newest_connection == connection_number{1};
             return call.holder.id.value == "s1" && on_old_connection ? call_outcome::not_sent
                                                                      : call_outcome::accepted;
         };
--- a/tests/auto/assignment/coordinator_fixture.hpp
+++ b/tests/auto/assignment/coordinator_fixture.hpp
@@ -81,7 +81,10 @@
                 core.tick(now);
             } else if (const auto* grant = std::get_if<grant_keys>(&effect)) {
                 grants.push_back(*grant);
-                core.on_call(now, grant->number, grant_outcome(*grant), "", connection_number{1});
+                core.on_call(now, grant->number, grant_outcome(*grant), "", newest_connection);
+            } else if (const auto* asked = std::get_if<identify_server>(&effect)) {
+                identifications.push_back(*asked);
+                core.on_call(now, asked->number, identify_outcome(*asked), "", newest_connection);
             } else if (const auto* release = std::get_if<release_keys>(&effect)) {
                 releases.push_back(*release);
                 core.on_call(now, release->number, release_outcome(*release), "token", {});
@@ -95,23 +98,11 @@
         end = stream_end;
         ++era.value;
     }
-    /// Each server that is not silent has written its record once more.
-    void read_servers()
-    {
-        std::map<server_id, log_offset> records;
-        for (const auto& [id, server] : servers) {
-            if (!silent.contains(id)) {
-                records[id] = log_offset{servers_end++};
-            }
-        }
-        core.on_servers_read(now, log_offset{servers_end}, records);
-    }
     void run(duration time)
     {
         const auto until = now + time;
         while (now < until) {
             now += millis{50};
-            read_servers();
             core.tick(now);
             for (int i = 0; i < 4; ++i) {
                 carry_out_effects();
@@ -134,14 +125,18 @@
     bool store_unreachable{};
     std::set<service_id> keyed{keyed_service};
     backend_servers servers;
-    /// Servers that have ended, or whose records are not read.
-    std::set<server_id> silent;
-    std::uint64_t servers_end{};
     std::vector<grant_keys> grants;
     std::vector<release_keys> releases;
+    std::vector<identify_server> identifications;
+    /// That of all calls that are answered.
+    connection_number newest_connection{1};
     std::function<call_outcome(const grant_keys&)> grant_outcome = [](const auto&) {
         return call_outcome::accepted;
     };
+    /// Whether the process at the address is the server that is asked for.
+    std::function<call_outcome(const identify_server&)> identify_outcome = [](const auto&) {
+        return call_outcome::accepted;
+    };
     std::function<call_outcome(const release_keys&)> release_outcome = [](const auto&) {
         return call_outcome::accepted;
     };
--- a/tests/auto/assignment/coordinator_search.hpp
+++ b/tests/auto/assignment/coordinator_search.hpp
@@ -19,6 +19,8 @@
     /// New tables in which a cold server gained keys.
     std::uint64_t cold_gains{};
     std::uint64_t bursts{};
+    /// Servers that started at the address of another one.
+    std::uint64_t addresses_reused{};
 };
 
 struct search_options
@@ -43,6 +45,9 @@
     bool check_cold_gains{};
     /// Bursts of requests for one key, for neighbouring keys or for all.
     bool bursts{};
+    /// Two services have keys. Servers end, and a server of the other service starts at the address
+    /// of one that has ended while that one's entry is still registered.
+    bool reused_addresses{};
     /// Without these, hosts ignore the operators' orders, or the limits of cold servers. Tests show
     /// with them that the checks find that.
     bool follow_orders{true};
--- a/tests/auto/assignment/coordinator_search_parts.hpp
+++ b/tests/auto/assignment/coordinator_search_parts.hpp
@@ -18,6 +18,8 @@
 namespace quincewing::testing {
 
 inline const service_id keyed_service{"keyed"};
+/// Half of the servers belong to it where addresses are reused.
+inline const service_id other_keyed_service{"keyed_too"};
 constexpr millis step{25};
 constexpr std::size_t host_count = 3;
 constexpr std::size_t server_count = 4;
@@ -36,6 +38,11 @@
         instant until;
     };
     key_holder self;
+    service_id service{keyed_service};
+    /// What its newest entry says, where addresses are reused.
+    key_holder registered;
+    /// A new process writes its first entry then.
+    instant registers_at{};
     bool up{true};
     bool cut_from_store{};
     instant entry_updated;
--- a/tests/auto/assignment/coordinator_search_test.cpp
+++ b/tests/auto/assignment/coordinator_search_test.cpp
@@ -133,6 +133,42 @@
     CHECK(first_violation(mutation_schedules, search) > 0);
 }
 
+// failure: a coordinator that had just begun granted a dead server's keys to the process of another
+// service that had its address by then.
+TEST_CASE("coordinators with reused addresses: at most one holder of each key")
+{
+    const auto schedules = schedules_or(default_schedules);
+    MESSAGE("seed " << options().seed << ", schedules " << schedules);
+    search_counts counts;
+    SUBCASE("without other faults")
+    {
+        CHECK(first_violation(schedules,
+                              {.faults = false, .reused_addresses = true, .counts = &counts}) == 0);
+    }
+    SUBCASE("beside all faults")
+    {
+        CHECK(first_violation(
+                  schedules,
+                  {.terms_given_up = true, .reused_addresses = true, .counts = &counts}) == 0);
+    }
+    SUBCASE("beside drills and all faults")
+    {
+        CHECK(first_violation(schedules, {.drills = true,
+                                          .terms_given_up = true,
+                                          .reused_addresses = true,
+                                          .counts = &counts}) == 0);
+    }
+    CHECK(counts.addresses_reused > schedules);
+}
+
+TEST_CASE("coordinators with reused addresses mutation: servers are identified before a grant")
+{
+    const search_options search{.faults = false, .reused_addresses = true, .mutate = [](auto& it) {
+                                    it.identify_servers = false;
+                                }};
+    CHECK(first_violation(mutation_schedules, search) > 0);
+}
+
 TEST_CASE("coordinators: seeds that failed before")
 {
     // Faults behind the seeds: a restart was taken as proof of release; a restarted server was
--- a/tests/auto/assignment/coordinator_simulation.cpp
+++ b/tests/auto/assignment/coordinator_simulation.cpp
@@ -15,6 +15,7 @@
 /// For each step, while no drill is under way.
 constexpr double drill_rate = 0.0008;
 constexpr double give_up_rate = 0.005;
+constexpr double address_reuse_rate = 0.004;
 
 } // namespace
 
@@ -29,6 +30,10 @@
         if (has_data_centres()) {
             servers_[i].data_centre = data_centres[i % std::size(data_centres)];
         }
+        if (options_.reused_addresses && i % 2 != 0) {
+            servers_[i].service = other_keyed_service;
+        }
+        servers_[i].registered = servers_[i].self;
     }
     if (has_data_centres()) {
         // The stream of the orders is not empty: an offset of 0 would tell other hosts nothing.
@@ -77,6 +82,9 @@
     if (options_.terms_given_up && uniform() < give_up_rate) {
         make_host_stand_aside();
     }
+    if (options_.reused_addresses && uniform() < address_reuse_rate) {
+        reuse_address();
+    }
     if (options_.drills && !drill_under_way_ && uniform() < drill_rate) {
         begin_drill();
     }
@@ -96,10 +104,16 @@
     if (violation_) {
         return violation_;
     }
+    auto out = find_shared_key(keyed_service);
+    return out ? out : find_shared_key(other_keyed_service);
+}
+
+std::optional<std::string> coordinator_simulation::find_shared_key(const service_id& service) const
+{
     for (const auto key : sample_keys) {
         const simulated_server* holder = nullptr;
         for (const auto& server : servers_) {
-            if (!server.holds(now_, key)) {
+            if (server.service != service || !server.holds(now_, key)) {
                 continue;
             }
             if (holder != nullptr) {
--- a/tests/auto/assignment/coordinator_simulation.hpp
+++ b/tests/auto/assignment/coordinator_simulation.hpp
@@ -53,6 +53,7 @@
     void begin_faults();
     void run_events();
     [[nodiscard]] std::optional<std::string> find_violation() const;
+    [[nodiscard]] std::optional<std::string> find_shared_key(const service_id& service) const;
 
     [[nodiscard]] bool has_data_centres() const
     {
@@ -95,24 +96,32 @@
     simulated_server* server_at(const key_holder& holder);
     static std::uint64_t connection_limit(const grant_keys& it);
     static std::uint64_t connection_limit(const release_keys&) { return 0; }
+    static std::uint64_t connection_limit(const identify_server&) { return 0; }
     void schedule_call_answer(std::size_t i, std::uint64_t incarnation, call_number number,
                               duration after, call_outcome outcome, std::uint64_t connection);
     void carry_out(std::size_t i, const grant_keys& it) { send_call(i, it); }
     void carry_out(std::size_t i, const release_keys& it) { send_call(i, it); }
+    void carry_out(std::size_t i, const identify_server& it) { send_call(i, it); }
     template <class Call>
     void send_call(std::size_t i, const Call& it);
     call_outcome apply(simulated_server& server, instant arrived, const grant_keys& it);
     void check_fence(const simulated_server& server, const grant_keys& it);
     call_outcome apply(simulated_server& server, instant, const release_keys& it);
-    /// The time at which a record was written serves as its offset in the servers' stream.
-    static log_offset offset_after(instant written);
-    [[nodiscard]] std::map<server_id, log_offset> newest_records() const;
+    call_outcome apply(simulated_server& server, instant, const identify_server& it);
     void update_server_entries();
 
+    // ---- addresses that go to another server
+
+    void reuse_address();
+    void start_server_at(std::size_t s, const std::string& address);
+    /// The coordinator gives its term up, or its process ends.
+    void disturb_coordinator();
+
     // ---- connections on which answers are written once more
 
     static bool own_connection(const grant_keys&) { return false; }
     static bool own_connection(const release_keys& it) { return it.own_connection; }
+    static bool own_connection(const identify_server&) { return false; }
     template <class Call>
     simulated_connection::call to_call(std::size_t i, std::size_t index, const Call& it);
     /// Finds a connection for a call, or opens one.
@@ -125,8 +134,11 @@
     void arrive(std::size_t i, std::size_t index, std::uint64_t to, const Call& it);
     void note_written(std::size_t i, std::uint64_t to, const key_answer& it);
     [[nodiscard]] double repeat_rate() const;
+    template <class Call>
+    [[nodiscard]] duration work_left(const simulated_server& server, const Call& it) const;
     key_answer run(simulated_server& server, const grant_keys& it);
     key_answer run(simulated_server& server, const release_keys& it);
+    key_answer run(simulated_server& server, const identify_server& it);
     void write(std::size_t i, std::uint64_t to, const key_answer& it, duration after);
     void on_answer(std::size_t i, std::uint64_t number, key_answer it);
 
@@ -145,7 +157,7 @@
 
     // ---- data centres and bursts
 
-    static std::unique_ptr<deployment_view> make_view();
+    [[nodiscard]] std::unique_ptr<deployment_view> make_view() const;
     /// In microseconds.
     [[nodiscard]] std::uint64_t warm_up_left(const simulated_server& it) const;
     void change_data_centres();
@@ -183,7 +195,7 @@
 
     search_options options_;
     boost::random::mt19937_64 random_;
-    std::map<key_number, last_grant> last_grants_;
+    std::map<std::pair<service_id, key_number>, last_grant> last_grants_;
     std::optional<std::string> violation_;
     std::vector<simulated_host> hosts_;
     std::vector<simulated_server> servers_;
@@ -203,6 +215,7 @@
     double late_call_rate_{};
     bool many_repeats_{};
     std::uint64_t last_token_{};
+    std::uint64_t last_address_{};
     /// From then on no faults begin.
     instant faults_end_{};
     /// When the last fault that began is over, with the grants that it left behind.
--- a/tests/auto/assignment/coordinator_simulation_connections.cpp
+++ b/tests/auto/assignment/coordinator_simulation_connections.cpp
@@ -32,6 +32,8 @@
                                                                     const grant_keys&);
 template simulated_connection::call coordinator_simulation::to_call(std::size_t, std::size_t,
                                                                     const release_keys&);
+template simulated_connection::call coordinator_simulation::to_call(std::size_t, std::size_t,
+                                                                    const identify_server&);
 
 void coordinator_simulation::assign(std::size_t i, std::size_t server,
                                     simulated_connection::call call)
@@ -104,6 +106,16 @@
     }
 }
 
+template <class Call>
+duration coordinator_simulation::work_left(const simulated_server& server, const Call& it) const
+{
+    if constexpr (std::is_same_v<Call, identify_server>) {
+        return {};
+    } else {
+        return std::max(server.work_end(it.keys) - now_, duration{0});
+    }
+}
+
 template <class Call>
 void coordinator_simulation::arrive(std::size_t i, std::size_t index, std::uint64_t to,
                                     const Call& it)
@@ -141,8 +153,7 @@
     if (!counts_later) {
         connection.written.push_back(answer);
     }
-    const auto ended = std::max(server.work_end(it.keys) - now_, duration{0});
-    const auto after = millis{5} + (answer.handoff.empty() ? duration{0} : ended);
+    const auto after = millis{5} + (answer.handoff.empty() ? duration{0} : work_left(server, it));
     if (counts_later) {
         schedule(after, [this, i, to, answer] { note_written(i, to, answer); });
     }
@@ -178,6 +189,11 @@
     return {.outcome = apply(server, now_, it), .handoff = "t" + std::to_string(++last_token_)};
 }
 
+key_answer coordinator_simulation::run(simulated_server& server, const identify_server& it)
+{
+    return {.outcome = apply(server, now_, it)};
+}
+
 void coordinator_simulation::write(std::size_t i, std::uint64_t to, const key_answer& it,
                                    duration after)
 {
--- a/tests/auto/assignment/coordinator_simulation_data_centres.cpp
+++ b/tests/auto/assignment/coordinator_simulation_data_centres.cpp
@@ -18,11 +18,14 @@
 
 } // namespace
 
-std::unique_ptr<deployment_view> coordinator_simulation::make_view()
+std::unique_ptr<deployment_view> coordinator_simulation::make_view() const
 {
     auto out = std::make_unique<deployment_view>(1);
     configuration current{.version = config_version{1}};
     current.services[keyed_service] = {.keyed = true, .warm_up_rate = warm_up_rate};
+    if (options_.reused_addresses) {
+        current.services[other_keyed_service] = {.keyed = true};
+    }
     out->apply_configuration(std::move(current));
     return out;
 }
--- a/tests/auto/assignment/coordinator_simulation_servers.cpp
+++ b/tests/auto/assignment/coordinator_simulation_servers.cpp
@@ -14,10 +14,14 @@
 
 simulated_server* coordinator_simulation::server_at(const key_holder& holder)
 {
-    const auto found = std::find_if(servers_.begin(), servers_.end(), [&](const auto& it) {
-        return it.self.address == holder.address;
-    });
-    return found == servers_.end() ? nullptr : &*found;
+    simulated_server* out = nullptr;
+    for (auto& it : servers_) {
+        const bool first = out == nullptr || (it.up && !out->up);
+        if (it.self.address == holder.address && first) {
+            out = &it;
+        }
+    }
+    return out;
 }
 
 std::uint64_t coordinator_simulation::connection_limit(const grant_keys& it)
@@ -41,6 +45,10 @@
 {
     const auto incarnation = hosts_[i].incarnation;
     auto* server = server_at(it.holder);
+    if (server == nullptr) {
+        schedule_call_answer(i, incarnation, it.number, it.timeout, call_outcome::not_sent, 0);
+        return;
+    }
     const auto index = static_cast<std::size_t>(server - servers_.data());
     if (options_.repeated_answers) {
         assign(i, index, to_call(i, index, it));
@@ -85,6 +93,7 @@
 
 template void coordinator_simulation::send_call(std::size_t, const grant_keys&);
 template void coordinator_simulation::send_call(std::size_t, const release_keys&);
+template void coordinator_simulation::send_call(std::size_t, const identify_server&);
 
 call_outcome coordinator_simulation::apply(simulated_server& server, instant arrived,
                                            const grant_keys& it)
@@ -103,7 +112,7 @@
         if (!it.keys.contains(key)) {
             continue;
         }
-        auto& last = last_grants_[key];
+        auto& last = last_grants_[{server.service, key}];
         const bool other = last.holder != server.self;
         if (other && it.fence <= last.fence && !violation_) {
             violation_ = "key " + std::to_string(key) + " went to " + server.self.id.value +
@@ -123,26 +132,18 @@
     return call_outcome::accepted;
 }
 
-log_offset coordinator_simulation::offset_after(instant written)
-{
-    return log_offset{static_cast<std::uint64_t>(written.time_since_epoch().count()) + 1};
-}
-
-std::map<server_id, log_offset> coordinator_simulation::newest_records() const
+call_outcome coordinator_simulation::apply(simulated_server& server, instant,
+                                           const identify_server& it)
 {
-    std::map<server_id, log_offset> out;
-    for (const auto& server : servers_) {
-        const auto written = server.entry_updated.time_since_epoch().count();
-        out[server.self.id] = log_offset{static_cast<std::uint64_t>(written)};
-    }
-    return out;
+    return server.self.id == it.holder.id ? call_outcome::accepted : call_outcome::rejected;
 }
 
 void coordinator_simulation::update_server_entries()
 {
     for (auto& server : servers_) {
-        if (server.up && !server.cut_from_store && !store_away()) {
+        if (server.up && !server.cut_from_store && !store_away() && now_ >= server.registers_at) {
             server.entry_updated = now_;
+            server.registered = server.self;
         }
     }
     const bool refresh = now_.time_since_epoch() % millis{700} == duration{0};
@@ -152,13 +153,14 @@
     backend_servers entries;
     for (const auto& server : servers_) {
         if (now_ - server.entry_updated < entry_expiry) {
-            entries[server.self.id] = {.id = server.self.id,
-                                       .start = server.self.start,
-                                       .address = server.self.address,
-                                       .service = keyed_service,
-                                       .data_centre = server.data_centre,
-                                       .slots = 2,
-                                       .warm_up_left = warm_up_left(server)};
+            const auto& self = options_.reused_addresses ? server.registered : server.self;
+            entries[self.id] = {.id = self.id,
+                                .start = self.start,
+                                .address = self.address,
+                                .service = server.service,
+                                .data_centre = server.data_centre,
+                                .slots = 2,
+                                .warm_up_left = warm_up_left(server)};
         }
     }
     if (now_ < entries_written_again_) {
@@ -167,11 +169,10 @@
         stored_.entries = entries;
         keep_state();
     }
-    schedule(entry_lag, [this, entries, sent = now_, written = newest_records()] {
+    schedule(entry_lag, [this, entries] {
         for (auto& host : hosts_) {
             if (!host.cut_from_store) {
                 host.servers = entries;
-                host.core->on_servers_read(sent, offset_after(sent), written);
                 host.view->apply_servers(now_, entries);
             }
         }
--- a/tests/auto/assignment/release_proof_test.cpp
+++ b/tests/auto/assignment/release_proof_test.cpp
@@ -48,6 +48,8 @@
         }
     }
     void execute(const read_table&) { core.on_table_read(now, now, stored, log_offset{end}); }
+    // With one keyed service no server is asked for its id.
+    void execute(const identify_server&) {}
     void execute(const append_table& it)
     {
         stored = decode_table(it.data).value();
