Lease each host's part of a server's limit to one dispatcher at a time

The host whose dispatcher gives out its slots was suspended for 0.3 s, twice.

Cause: a dispatcher worked out from its own view which part of the limit it may use. Hosts that had no answer for 120 ms ask another dispatcher for 2 s. That one is chosen by its own view and uses the whole limit; so does the first one when it goes on, which never saw itself passed over.

Change: a host's equal part, its quota, is used by one dispatcher at a time. Dispatchers ask all hosts for their quotas; a host leases its own to the dispatcher that it asks itself, if no other may still use it. A lease counts from the sending of the request at the dispatcher and from the answer at the host, so it ends at the dispatcher first, and the parts add up to no more than the limit whatever the hosts believe of each other. A host that has started neither lends nor uses quotas for the time of a lease.

--- a/include/quincewing/peers/peer_identity.hpp
+++ b/include/quincewing/peers/peer_identity.hpp
@@ -12,7 +12,9 @@
 inline const spoken_version first_spoken_version{1};
 /// Adds: table changes that renew all fences, requests for news that name what the sender has.
 inline const spoken_version renewal_spoken_version{2};
-inline const spoken_version current_spoken_version = renewal_spoken_version;
+/// Adds: leases of quotas.
+inline const spoken_version quota_spoken_version{3};
+inline const spoken_version current_spoken_version = quota_spoken_version;
 
 /// What a host tells of itself when a connection is made.
 struct peer_identity
--- a/include/quincewing/wire/messages.hpp
+++ b/include/quincewing/wire/messages.hpp
@@ -4,6 +4,7 @@
 #include "quincewing/deployment/server_condition.hpp"
 #include "quincewing/wire/coordination_messages.hpp"
 #include "quincewing/wire/owner_messages.hpp"
+#include "quincewing/wire/quota_messages.hpp"
 #include "quincewing/wire/reach_messages.hpp"
 #include "quincewing/wire/slot_messages.hpp"
 
@@ -35,7 +36,7 @@
                  host_leaving, place_declined, place_check, place_check_result, crash_digest,
                  server_condition_report, server_condition_digest, server_condition_request,
                  configuration_request, configuration_reply, host_reach, term_given_up,
-                 reach_question, reach_result>;
+                 reach_question, reach_result, quota_request, quota_reply>;
 
 /// A message between two entry hosts; dropped unless it is for this very process.
 struct envelope
--- a/src/plugins/entry/dispatch_task.cpp
+++ b/src/plugins/entry/dispatch_task.cpp
@@ -14,13 +14,15 @@
 // Dispatchers that one request asks before this host grants slots itself: each host of a large
 // fleet that does so sends a request to a server that may be full.
 constexpr std::uint32_t max_dispatchers_asked = 2;
+// Ticks are this far apart at most while the host is neither suspended nor overloaded.
+constexpr millis late_tick{100};
 // A new connection takes a round trip and time at both ends, which small hosts have little of.
 constexpr millis connection_cost{20};
 
 } // namespace
 
 dispatch_task::dispatch_task(host_context context, peers_task& peers)
-    : context_(std::move(context)), peers_(peers)
+    : context_(std::move(context)), peers_(peers), lender_(monotonic_now())
 {
 }
 
@@ -47,11 +49,13 @@
 {
     hosts_version_ = peers_.connected_version();
     dispatcher_hosts_.clear();
+    older_hosts_ = 0;
     candidates_ = {{.host = context_.self,
                     .cores = context_.settings.cores,
                     .skipped = leaving_.contains(context_.self)}};
     for (const auto& host : peers_.connected_hosts()) {
         const auto* identity = peers_.identity_of(host);
+        older_hosts_ += identity != nullptr && identity->speaks < quota_spoken_version ? 1 : 0;
         const bool skipped = leaving_.contains(host) || unresponsive_until_.contains(host);
         candidates_.push_back(
             {.host = host, .cores = identity == nullptr ? 0 : identity->cores, .skipped = skipped});
@@ -79,6 +83,11 @@
     const auto found = all.find(id);
     if (found != all.end()) {
         found->second.set_losing_hosts(losing_hosts(fallback));
+        // After a suspension leases may have ended since the last tick.
+        const auto now = monotonic_now();
+        if (found->second.limited() && now - last_tick_ > late_tick) {
+            apply_limits(now, id, fallback, found->second);
+        }
         return found->second;
     }
     const auto extra_grants = static_cast<std::uint32_t>(context_.settings.extra_grants);
@@ -163,6 +172,9 @@
                            dispatch_request request)
 {
     auto& target = get_dispatcher(id, fallback);
+    if (target.limited() && !fallback) {
+        limited_requested_at_[id] = monotonic_now();
+    }
     target.submit(monotonic_now(), ticket, std::move(request));
     deliver_decisions(target);
 }
@@ -188,11 +200,14 @@
 
 void dispatch_task::tick(instant now)
 {
+    last_tick_ = now;
+    lender_.set_lease_time(quota_lease_time(host_count()));
+    lender_.tick(now);
+    borrower_.tick(now);
+    request_quotas(now);
+    apply_all_limits(now);
     for (auto* all : {&dispatchers_, &fallback_dispatchers_}) {
         for (auto& [id, it] : *all) {
-            if (it.limited()) {
-                apply_limits(now, id, all == &fallback_dispatchers_, it);
-            }
             if (!it.idle()) {
                 it.tick(now);
                 deliver_decisions(it);
--- a/src/plugins/entry/dispatch_task.hpp
+++ b/src/plugins/entry/dispatch_task.hpp
@@ -2,6 +2,7 @@
 
 #include "quincewing/dispatch/dispatcher.hpp"
 #include "quincewing/dispatch/dispatcher_choice.hpp"
+#include "quincewing/dispatch/quota_leases.hpp"
 #include "quincewing/entry/host_context.hpp"
 #include "quincewing/peers/peers_task.hpp"
 
@@ -51,20 +52,14 @@
     void on_message(const host_id& from, const place_declined& it);
     void on_message(const host_id& from, const place_check& it);
     void on_message(const host_id& from, const place_check_result& it);
+    void on_message(const host_id& from, const quota_request& it);
+    void on_message(const host_id& from, const quota_reply& it);
 
     /// Number of this host's requests that have no slot yet.
     [[nodiscard]] std::size_t waiting() const;
 
 private:
-    /// Servers that share a dispatcher: one server of a keyed service, or a whole unkeyed service.
-    struct group_id
-    {
-        service_id service;
-        /// Empty for an unkeyed service.
-        server_id keyed_server;
-
-        auto operator<=>(const group_id&) const = default;
-    };
+    using group_id = server_group;
     struct pending_request
     {
         dispatch_request request;
@@ -94,8 +89,13 @@
     /// Hosts that must lose a server before a dispatcher takes it to be lost.
     [[nodiscard]] std::size_t losing_hosts(bool fallback) const;
     /// The part of a server's own limit that a dispatcher of this host may use.
-    [[nodiscard]] double limit_share_of(const group_id& id, bool fallback);
+    [[nodiscard]] double quota_share_of(instant now, const group_id& id, bool fallback);
     void apply_limits(instant now, const group_id& id, bool fallback, dispatcher& to);
+    void apply_all_limits(instant now);
+    /// Asks the other hosts for the quotas of limited groups that were asked for lately.
+    void request_quotas(instant now);
+    [[nodiscard]] std::set<group_id> groups_in_need_of_quotas(instant now);
+    [[nodiscard]] std::size_t host_count() const { return peers_.known_hosts() + 1; }
     [[nodiscard]] static dispatch_request with_time_left(const pending_request& it, instant now);
     /// Whether it waits for a slot from another host's dispatcher.
     [[nodiscard]] bool waits_elsewhere(const pending_request& it) const;
@@ -139,6 +139,14 @@
     /// Hosts that may hold slots for requests that are over, and since when.
     std::map<host_id, instant> to_check_;
     std::uint64_t next_number_{1};
+    quota_lender lender_;
+    quota_borrower borrower_;
+    instant last_quota_request_{};
+    /// When a slot at a group with limits was last requested from this host's dispatcher.
+    std::map<group_id, instant> limited_requested_at_;
+    /// Connected hosts of earlier builds, which lease no quotas.
+    std::size_t older_hosts_{};
+    instant last_tick_{};
 };
 
 } // namespace quincewing
--- a/src/plugins/entry/dispatch_task_messages.cpp
+++ b/src/plugins/entry/dispatch_task_messages.cpp
@@ -182,9 +182,13 @@
 {
     leaving_.insert(host);
     on_hosts_change();
-    if (host != context_.self) {
-        ask_elsewhere(host);
+    if (host == context_.self) {
+        borrower_.return_all();
+        apply_all_limits(monotonic_now());
+        return;
     }
+    lender_.on_returned(host);
+    ask_elsewhere(host);
 }
 
 void dispatch_task::skip_dispatchers_of(const host_id& host, instant now)
