--- a/include/quincewing/dispatch/quota_leases.hpp
+++ b/include/quincewing/dispatch/quota_leases.hpp
@@ -14,7 +14,7 @@
 
 /// How often a dispatcher renews the leases of quotas in a deployment of this many hosts.
 duration quota_renew_interval(std::size_t hosts);
-/// For how long it leases them.
+/// For how long it leases them, from the sending of its request.
 duration quota_lease_time(std::size_t hosts);
 
 /// This host's quotas: its equal parts of the rates that servers allow. Each is used by one
@@ -35,8 +35,8 @@
                                          const std::function<bool(const server_group&)>& is_chosen);
     /// The dispatchers of the host have stopped to use all quotas.
     void on_returned(const host_id& by);
-    /// Whether no other dispatcher may use the quota.
-    [[nodiscard]] bool has(instant now, const server_group& group) const;
+    /// Whether this host's own dispatcher may use the quota: no other one may.
+    [[nodiscard]] bool may_use(instant now, const server_group& group) const;
     /// Forgets leases that are over, and hosts that have not asked for long.
     void tick(instant now);
 
--- a/src/libs/dispatch/quota_leases.cpp
+++ b/src/libs/dispatch/quota_leases.cpp
@@ -8,7 +8,7 @@
 
 constexpr millis least_renew_interval{250};
 constexpr millis longest_renew_interval{1200};
-// A dispatcher sends a request to each host in this time for each of them.
+// Bounds the requests that a dispatcher sends in a second, whatever the number of hosts.
 constexpr millis renew_interval_per_host{4};
 constexpr seconds longest_lease_time{3};
 // No message between hosts is under way for this long.
@@ -74,7 +74,7 @@
     newest_requests_.erase(by);
 }
 
-bool quota_lender::has(instant now, const server_group& group) const
+bool quota_lender::may_use(instant now, const server_group& group) const
 {
     const auto found = leases_.find(group);
     const bool leased = found != leases_.end() && now < found->second.until;
--- a/src/plugins/entry/dispatch_task_limits.cpp
+++ b/src/plugins/entry/dispatch_task_limits.cpp
@@ -10,8 +10,9 @@
 
 // Quotas of a group's limits are borrowed for this long after the last request for a slot there.
 constexpr seconds quota_use_time{3};
-// Quotas of a further group are asked for after this part of the usual interval.
-constexpr int new_group_share = 4;
+// The quotas of a further group are not left to wait for the next renewal: the usual interval is
+// divided by this.
+constexpr int new_group_divisor = 4;
 
 } // namespace
 
@@ -22,7 +23,7 @@
 {
     const bool chosen = dispatcher_host_of(id) == context_.self;
     return quota_share({.known_hosts = host_count(),
-                        .own = lender_.has(now, id),
+                        .own = lender_.may_use(now, id),
                         .borrowed = borrower_.count(now, id) + (chosen ? older_hosts_ : 0),
                         .fallback = fallback});
 }
@@ -78,7 +79,7 @@
     const auto& before = borrower_.requested();
     const bool more = !std::includes(before.begin(), before.end(), groups.begin(), groups.end());
     const auto interval = quota_renew_interval(host_count());
-    const auto pause = more ? interval / new_group_share : interval;
+    const auto pause = more ? interval / new_group_divisor : interval;
     const bool any = !groups.empty() || !before.empty();
     if (!any || now - last_quota_request_ < pause) {
         return;
--- a/tests/auto/dispatch/quota_leases_test.cpp
+++ b/tests/auto/dispatch/quota_leases_test.cpp
@@ -42,16 +42,16 @@
 TEST_CASE("quota: a host leases it to one dispatcher at a time")
 {
     auto lender = settled_lender();
-    CHECK(lender.has(start, group));
+    CHECK(lender.may_use(start, group));
     REQUIRE(leases(lender, start, first, 1));
-    CHECK_FALSE(lender.has(start, group));
-    CHECK(lender.has(start, other));
+    CHECK_FALSE(lender.may_use(start, group));
+    CHECK(lender.may_use(start, other));
     CHECK_FALSE(leases(lender, start + lease_time / 2, second, 1));
     CHECK(leases(lender, start + lease_time / 2, first, 2));
     CHECK_FALSE(leases(lender, start + lease_time, second, 2));
     const auto end = start + lease_time / 2 + lease_time;
-    CHECK_FALSE(lender.has(end - duration{1}, group));
-    CHECK(lender.has(end, group));
+    CHECK_FALSE(lender.may_use(end - duration{1}, group));
+    CHECK(lender.may_use(end, group));
     CHECK(leases(lender, end, second, 3));
 }
 
@@ -61,10 +61,10 @@
     auto lender = settled_lender();
     REQUIRE(leases(lender, start, first, 1, {group, other}));
     REQUIRE(leases(lender, start, first, 2, {other}));
-    CHECK(lender.has(start, group));
+    CHECK(lender.may_use(start, group));
     CHECK(leases(lender, start, second, 1));
     lender.on_returned(first);
-    CHECK(lender.has(start, other));
+    CHECK(lender.may_use(start, other));
 }
 
 // Guards against a request that comes late and takes back what a newer one returned.
@@ -73,8 +73,8 @@
     auto lender = settled_lender();
     REQUIRE(leases(lender, start, first, 2));
     CHECK_FALSE(leases(lender, start, first, 1, {other}));
-    CHECK_FALSE(lender.has(start, group));
-    CHECK(lender.has(start, other));
+    CHECK_FALSE(lender.may_use(start, group));
+    CHECK(lender.may_use(start, other));
 }
 
 // Guards against a dispatcher that gets the quotas of hosts that send their requests elsewhere.
@@ -84,7 +84,7 @@
     const auto none = lender.on_request(start, first, 1, {group}, lease_time,
                                         [](const server_group&) { return false; });
     CHECK(none.empty());
-    CHECK(lender.has(start, group));
+    CHECK(lender.may_use(start, group));
 }
 
 // Guards against a restarted host that leases what its process before leased to another.
@@ -93,9 +93,9 @@
     quota_lender lender{start};
     lender.set_lease_time(lease_time);
     const auto before = start + lease_time - duration{1};
-    CHECK_FALSE(lender.has(before, group));
+    CHECK_FALSE(lender.may_use(before, group));
     CHECK_FALSE(leases(lender, before, first, 1));
-    CHECK(lender.has(start + lease_time, group));
+    CHECK(lender.may_use(start + lease_time, group));
     CHECK(leases(lender, start + lease_time, first, 2));
 }
 
@@ -105,10 +105,10 @@
     auto lender = settled_lender();
     REQUIRE_FALSE(
         lender.on_request(start, first, 1, {group}, duration{seconds{3600}}, any_host).empty());
-    CHECK(lender.has(start + seconds{3}, group));
+    CHECK(lender.may_use(start + seconds{3}, group));
     REQUIRE_FALSE(
         lender.on_request(start + seconds{3}, first, 2, {group}, duration{-1}, any_host).empty());
-    CHECK(lender.has(start + seconds{3}, group));
+    CHECK(lender.may_use(start + seconds{3}, group));
 }
 
 // Guards against a borrower whose lease ends after its lender has leased the quota anew.
--- a/tests/auto/dispatch/quota_search_test.cpp
+++ b/tests/auto/dispatch/quota_search_test.cpp
@@ -256,7 +256,7 @@
     [[nodiscard]] double share_of(const simulated_host& it) const
     {
         return quota_share({.known_hosts = count_,
-                            .own = it.lender.has(now_, group),
+                            .own = it.lender.may_use(now_, group),
                             .borrowed = it.borrower.count(now_, group)});
     }
 
