--- a/tests/auto/dispatch/quota_leases_test.cpp
+++ b/tests/auto/dispatch/quota_leases_test.cpp
@@ -14,8 +14,8 @@
 constexpr duration lease_time = millis{600};
 const host_id first{"h1"};
 const host_id second{"h2"};
-const server_group group{.service = service_id{"kassa"}, .keyed_server = server_id{"s1"}};
-const server_group other{.service = service_id{"kassa"}, .keyed_server = server_id{"s2"}};
+const server_group group{.service = service_id{"orders"}, .keyed_server = server_id{"s1"}};
+const server_group other{.service = service_id{"orders"}, .keyed_server = server_id{"s2"}};
 
 bool any_host(const server_group&)
 {
--- a/tests/auto/dispatch/quota_search_test.cpp
+++ b/tests/auto/dispatch/quota_search_test.cpp
@@ -30,7 +30,7 @@
 constexpr millis late_tick{100};
 constexpr std::uint64_t schedules = 300;
 
-const server_group group{.service = service_id{"kassa"}, .keyed_server = {}};
+const server_group group{.service = service_id{"orders"}, .keyed_server = {}};
 
 enum class fault
 {
@@ -56,9 +56,8 @@
     std::vector<server_group> groups;
 };
 
-class simulated_host
+struct simulated_host
 {
-public:
     simulated_host(std::size_t index, std::uint64_t start_number, instant started)
         : index(index), start_number(start_number), lender(started), bucket(started)
     {
